--- /dev/null
+++ b/source/common/hashing.cc
@@ -0,0 +1,47 @@
+#include "common/hashing.h"
+
+#include <glib.h>
+
+#include <algorithm>
+
+namespace boragepick {
+
+namespace {
+
+struct Ranked {
+  std::uint64_t weight;
+  const std::string* member;
+};
+
+bool Heavier(const Ranked& left, const Ranked& right) {
+  if (left.weight != right.weight)
+    return left.weight > right.weight;
+  return *left.member < *right.member;
+}
+
+}  // namespace
+
+std::vector<std::string> RendezvousOrder(std::string_view duty,
+                                         std::span<const std::string> members) {
+  const std::uint64_t seed = StableHash(duty);
+  std::vector<Ranked> ranked;
+  ranked.reserve(members.size());
+  for (const std::string& member : members)
+    ranked.push_back({.weight = StableHash(member, seed), .member = &member});
+  std::ranges::sort(ranked, Heavier);
+  std::vector<std::string> order;
+  order.reserve(ranked.size());
+  for (const Ranked& entry : ranked)
+    order.push_back(*entry.member);
+  return order;
+}
+
+std::string Sha256Hex(std::string_view data) {
+  gchar* digest = g_compute_checksum_for_data(
+      G_CHECKSUM_SHA256, reinterpret_cast<const guchar*>(data.data()), data.size());
+  std::string hex(digest);
+  g_free(digest);
+  return hex;
+}
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/common/log_event.h
@@ -0,0 +1,92 @@
+// The catalogue of log events: each has a number, a level, a category and a fixed meaning. The same
+// table stands in docs/EVENTS.md; a unit test holds the two against each other.
+#pragma once
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/enum_table.h"
+
+namespace boragepick {
+
+enum class LogLevel { kInfo, kWarning, kError };
+enum class LogCategory { kDaemon, kFront, kRouting, kPlacement, kQuota, kOnce, kFeed, kPeers };
+
+inline constexpr EnumTable kLogLevelNames{std::array{
+    EnumName<LogLevel>{LogLevel::kInfo, "info"},
+    EnumName<LogLevel>{LogLevel::kWarning, "warning"},
+    EnumName<LogLevel>{LogLevel::kError, "error"},
+}};
+
+inline constexpr EnumTable kLogCategoryNames{std::array{
+    EnumName<LogCategory>{LogCategory::kDaemon, "daemon"},
+    EnumName<LogCategory>{LogCategory::kFront, "front"},
+    EnumName<LogCategory>{LogCategory::kRouting, "routing"},
+    EnumName<LogCategory>{LogCategory::kPlacement, "placement"},
+    EnumName<LogCategory>{LogCategory::kQuota, "quota"},
+    EnumName<LogCategory>{LogCategory::kOnce, "once"},
+    EnumName<LogCategory>{LogCategory::kFeed, "feed"},
+    EnumName<LogCategory>{LogCategory::kPeers, "peers"},
+}};
+
+enum class LogEvent {
+  kStarted = 100,
+  kDraining = 101,
+  kStopped = 102,
+  kRequestRefused = 200,
+  kRequestRouted = 201,
+  kRequestRetried = 202,
+  kRequestFinished = 203,
+  kFingerprintConvicted = 204,
+  kLoadStarted = 300,
+  kLoadFinished = 301,
+  kLoadFailed = 302,
+  kModelEvicted = 303,
+  kPermitsPlanned = 304,
+  kPermitsConflict = 305,
+  kUnpermittedUnloaded = 306,
+  kSharePlanned = 400,
+  kShareConflict = 401,
+  kOncePageTaken = 500,
+  kOnceConflict = 501,
+  kOnceRefused = 502,
+  kConfigApplied = 600,
+  kConfigRejected = 601,
+  kRelayChanged = 602,
+  kPlatformUnreachable = 603,
+  kRosterChanged = 604,
+  kPeerFrameRejected = 700,
+  kUpstreamSilent = 701,
+};
+
+struct LogEventRow {
+  LogEvent event;
+  LogLevel level;
+  LogCategory category;
+  std::string_view name;
+  std::string_view meaning;
+};
+
+// All events, ordered by number.
+const std::vector<LogEventRow>& LogEventCatalogue();
+
+// The row of `event`; every value of LogEvent has one.
+const LogEventRow& LogEventInfo(LogEvent event);
+
+struct LogField {
+  std::string name;
+  std::string value;
+};
+
+// One line of the log, before it is written.
+struct LogRecord {
+  LogEvent event;
+  std::vector<LogField> fields;
+};
+
+// "E0201 routing request_routed request=7 agent=w1": without level and time.
+std::string FormatLogRecord(const LogRecord& record);
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/agent/agent.h
@@ -0,0 +1,61 @@
+// The agent as a machine without input or output. It stands beside one upstream and is the only one
+// that talks to it: the authority for its memory and for what has been started there.
+#pragma once
+
+#include <vector>
+
+#include "common/time.h"
+#include "core/agent/agent_messages.h"
+#include "core/agent/agent_state.h"
+#include "core/agent/run_desk.h"
+#include "core/agent/unit_desk.h"
+
+namespace boragepick {
+
+class Agent {
+ public:
+  using Event = AgentEvent;
+  using Effect = AgentEffect;
+
+  explicit Agent(const AgentOptions& options);
+  Agent(const Agent&) = delete;
+  Agent& operator=(const Agent&) = delete;
+
+  std::vector<AgentEffect> Handle(TimePoint now, AgentEvent event);
+
+  // When the next Ticked event is wanted.
+  TimePoint NextTick(TimePoint now) const;
+  bool Ready() const { return m_state.feed.HasView() && !m_state.draining; }
+
+  const AgentState& state() const { return m_state; }
+  const UnitDesk& units() const { return m_units; }
+  const RunDesk& runs() const { return m_runs; }
+
+ private:
+  void On(TimePoint now, PeerReceived event);
+  void On(TimePoint now, const UpstreamHead& event) { m_runs.Take(now, event); }
+  void On(TimePoint now, UpstreamBytes event) { m_runs.Take(now, std::move(event)); }
+  void On(TimePoint now, const UpstreamEnded& event) { m_runs.Take(now, event); }
+  void On(TimePoint now, const OrderAnswered& event);
+  void On(TimePoint now, const InventoryReceived& event);
+  void On(TimePoint now, const OperatorAsked& event);
+  void On(TimePoint now, const DrainAsked& event);
+  void On(TimePoint now, const Ticked& event);
+
+  template <typename Message>
+  void OnPeer(TimePoint now, const PeerSender& from, Message message);
+
+  void CollectFeed(TimePoint now);
+  void CheckDrain(TimePoint now);
+  MetricsReport MakeMetrics(TimePoint now) const;
+  StatusReport MakeStatus(TimePoint now) const;
+
+  AgentState m_state;
+  UnitDesk m_units;
+  RunDesk m_runs;
+  TimePoint m_next_slow_tick = TimePoint{};
+  TimePoint m_drain_started = kNever;
+  bool m_drain_done = false;
+};
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/agent/agent_messages.h
@@ -0,0 +1,124 @@
+// The events and effects of the agent machine.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/enum_table.h"
+#include "core/feed/feed_node.h"
+#include "core/operator_messages.h"
+#include "core/peer_messages.h"
+#include "core/placement/memory_ledger.h"
+#include "core/router/router_messages.h"
+
+namespace boragepick {
+
+// Numbers one call to the upstream.
+using RunNumber = std::uint64_t;
+
+// --- Events
+// ---------------------------------------------------------------------------------------
+
+struct UpstreamHead {
+  RunNumber run = 0;
+  AnswerHead head;
+};
+struct UpstreamBytes {
+  RunNumber run = 0;
+  std::string bytes;
+};
+// kNotSent: the upstream can't have seen it. kFailed: the connection broke on the way.
+enum class UpstreamEnd { kComplete, kNotSent, kFailed };
+
+inline constexpr EnumTable kUpstreamEndNames{std::array{
+    EnumName<UpstreamEnd>{UpstreamEnd::kComplete, "complete"},
+    EnumName<UpstreamEnd>{UpstreamEnd::kNotSent, "not_sent"},
+    EnumName<UpstreamEnd>{UpstreamEnd::kFailed, "failed"},
+}};
+
+struct UpstreamEnded {
+  RunNumber run = 0;
+  UpstreamEnd end = UpstreamEnd::kComplete;
+  std::string detail;
+};
+
+// kDone: carried out. kRefused: certain not to have been. kUnknown: no answer.
+enum class OrderResult { kDone, kRefused, kUnknown };
+
+inline constexpr EnumTable kOrderResultNames{std::array{
+    EnumName<OrderResult>{OrderResult::kDone, "done"},
+    EnumName<OrderResult>{OrderResult::kRefused, "refused"},
+    EnumName<OrderResult>{OrderResult::kUnknown, "unknown"},
+}};
+
+struct OrderAnswered {
+  std::uint64_t fence = 0;
+  OrderResult result = OrderResult::kUnknown;
+  std::string detail;
+};
+struct InventoryReceived {
+  std::uint64_t asked_at_fence = 0;
+  // Whether the engine answered.
+  bool answered = false;
+  // Names one run of the engine; another one after it was restarted.
+  std::string engine_run;
+  std::vector<InventoryItem> items;
+};
+
+using AgentEvent = std::variant<PeerReceived,
+                                UpstreamHead,
+                                UpstreamBytes,
+                                UpstreamEnded,
+                                OrderAnswered,
+                                InventoryReceived,
+                                OperatorAsked,
+                                DrainAsked,
+                                Ticked>;
+
+// --- Effects
+// --------------------------------------------------------------------------------------
+
+struct StartRun {
+  RunNumber run = 0;
+  RunRequest request;
+};
+struct CancelUpstreamRun {
+  RunNumber run = 0;
+};
+
+enum class OrderKind { kLoadModel, kUnloadModel, kLoadAdapter, kUnloadAdapter };
+
+inline constexpr EnumTable kOrderKindNames{std::array{
+    EnumName<OrderKind>{OrderKind::kLoadModel, "load_model"},
+    EnumName<OrderKind>{OrderKind::kUnloadModel, "unload_model"},
+    EnumName<OrderKind>{OrderKind::kLoadAdapter, "load_adapter"},
+    EnumName<OrderKind>{OrderKind::kUnloadAdapter, "unload_adapter"},
+}};
+
+// An order to the engine; its fence is higher than that of every earlier one.
+struct SendOrder {
+  std::uint64_t fence = 0;
+  OrderKind kind = OrderKind::kLoadModel;
+  std::string name;
+  std::string weights;
+  // Adapters only.
+  std::string base_model;
+  std::uint64_t memory_mb = 0;
+};
+struct AskInventory {
+  std::uint64_t fence = 0;
+};
+
+using AgentEffect = std::variant<SendToEndpoint,
+                                 RenewPeer,
+                                 StartRun,
+                                 CancelUpstreamRun,
+                                 SendOrder,
+                                 AskInventory,
+                                 OperatorAnswered,
+                                 LogEffect,
+                                 DrainDone>;
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/agent/run_desk.cc
@@ -0,0 +1,328 @@
+#include "core/agent/run_desk.h"
+
+#include <algorithm>
+
+#include "common/hashing.h"
+#include "core/placement/planner.h"
+
+namespace boragepick {
+
+RunDesk::Run* RunDesk::Find(RunNumber number) {
+  const auto found = m_runs.find(number);
+  return found == m_runs.end() ? nullptr : &found->second;
+}
+
+void RunDesk::Tell(TimePoint now, Run& run, PeerMessage message) {
+  run.last_told = now;
+  m_state.Emit(SendToEndpoint{.endpoint = run.from.endpoint, .message = std::move(message)});
+}
+
+std::string RunDesk::ReasonToRefuse(const RunRequest& request) const {
+  if (m_closed)
+    return "the agent is leaving";
+  if (m_waiting.size() + m_queue.Size() >= m_state.options.max_waiting)
+    return "too many requests wait here";
+  if (request.model.empty())
+    return "";
+  if (!m_state.view.Resolve(request.model))
+    return "the model is not known here";
+  if (!m_units.MayRun(request.model))
+    return "the model is not permitted here";
+  return "";
+}
+
+void RunDesk::Take(TimePoint now, const PeerSender& from, RunRequest request) {
+  m_routers[from.vm] = {.endpoint = from.endpoint, .used = now};
+  const RunKey key{.router = from.vm, .incarnation = from.incarnation, .id = request.id};
+  if (const auto doubled = m_numbers.find(key); doubled != m_numbers.end()) {
+    Tell(now, m_runs.at(doubled->second), RunProgress{.id = request.id});
+    return;
+  }
+  // why: the first copy was run to its end; what became of it can't be told again
+  if (m_ended.contains(key))
+    return;
+  ++m_metrics.taken;
+  const std::string reason = ReasonToRefuse(request);
+  const RunNumber number = ++m_last_number;
+  Run& run = m_runs[number];
+  run.key = key;
+  run.from = from;
+  run.arrived = now;
+  run.deadline = now + request.patience;
+  run.last_progress = now;
+  run.request = std::move(request);
+  m_numbers[key] = number;
+  if (!reason.empty()) {
+    End(now, number, RunEnd::kNotRun, reason);
+    return;
+  }
+  Tell(now, run, RunProgress{.id = run.request.id});
+  m_waiting.insert(number);
+  Pump(now);
+}
+
+void RunDesk::Take(TimePoint now, const PeerSender& from, const CancelRun& cancel) {
+  const auto found =
+      m_numbers.find({.router = from.vm, .incarnation = from.incarnation, .id = cancel.id});
+  if (found == m_numbers.end())
+    return;
+  const RunNumber number = found->second;
+  const bool started = Find(number)->stage == RunStage::kRunning;
+  if (started)
+    m_state.Emit(CancelUpstreamRun{.run = number});
+  End(now, number, started ? RunEnd::kCut : RunEnd::kNotRun, "cancelled by the router");
+  Pump(now);
+}
+
+// --- Start
+// ----------------------------------------------------------------------------------------
+
+void RunDesk::MoveWaiting(TimePoint now) {
+  std::vector<RunNumber> ready;
+  for (const RunNumber number : m_waiting) {
+    const RunRequest& request = m_runs.at(number).request;
+    const bool usable = request.model.empty() ||
+                        m_units.Want(now, request.model, request.adapter, request.priority);
+    if (usable)
+      ready.push_back(number);
+  }
+  for (const RunNumber number : ready) {
+    Run& run = m_runs.at(number);
+    m_waiting.erase(number);
+    run.stage = RunStage::kQueued;
+    run.in_use = true;
+    m_units.StartUse(now, run.request.model, run.request.adapter);
+    m_queue.Push({.id = number,
+                  .team = run.request.team,
+                  .priority = run.request.priority,
+                  .cost = run.request.cost,
+                  .deadline = run.deadline});
+  }
+}
+
+void RunDesk::StartNext(TimePoint now) {
+  while (m_running < m_state.options.slots && !m_suspect_running) {
+    std::optional<RunNumber> number = m_suspect_next;
+    if (number && Find(*number) == nullptr)
+      number.reset();
+    if (!number)
+      number = m_queue.Pop();
+    m_suspect_next.reset();
+    if (!number)
+      return;
+    Run* run = Find(*number);
+    if (run == nullptr)
+      continue;
+    if (run->request.suspect && m_running > 0) {
+      // why: what runs beside a suspect would go down with it
+      m_suspect_next = number;
+      return;
+    }
+    Start(now, *number, *run);
+  }
+}
+
+void RunDesk::Start(TimePoint now, RunNumber number, Run& run) {
+  run.stage = RunStage::kRunning;
+  run.last_progress = now;
+  ++m_running;
+  m_suspect_running = run.request.suspect;
+  ++m_metrics.started;
+  m_metrics.queue_seconds.Add(ToSeconds(now - run.arrived));
+  m_state.Emit(StartRun{.run = number, .request = run.request});
+}
+
+void RunDesk::EndRefused(TimePoint now) {
+  const std::set<std::string> refused = m_units.TakeRefused();
+  if (refused.empty())
+    return;
+  std::vector<RunNumber> ended;
+  for (const RunNumber number : m_waiting) {
+    const RunRequest& request = m_runs.at(number).request;
+    if (refused.contains(request.model) || refused.contains(request.adapter))
+      ended.push_back(number);
+  }
+  for (const RunNumber number : ended)
+    End(now, number, RunEnd::kNotRun, "the engine refused to load the model");
+}
+
+void RunDesk::Pump(TimePoint now) {
+  EndRefused(now);
+  MoveWaiting(now);
+  m_units.Advance(now);
+  StartNext(now);
+}
+
+// --- The upstream's answers
+// -----------------------------------------------------------------------
+
+void RunDesk::Take(TimePoint now, const UpstreamHead& head) {
+  Run* run = Find(head.run);
+  if (run == nullptr)
+    return;
+  run->last_progress = now;
+  Tell(now, *run, RunHead{.id = run->request.id, .head = head.head});
+}
+
+void RunDesk::Take(TimePoint now, UpstreamBytes bytes) {
+  Run* run = Find(bytes.run);
+  if (run == nullptr)
+    return;
+  run->last_progress = now;
+  Tell(now, *run,
+       RunChunk{.id = run->request.id, .sequence = run->chunks++, .bytes = std::move(bytes.bytes)});
+}
+
+void RunDesk::Take(TimePoint now, const UpstreamEnded& ended) {
+  Run* run = Find(ended.run);
+  if (run == nullptr)
+    return;
+  if (ended.end == UpstreamEnd::kComplete) {
+    End(now, ended.run, RunEnd::kWhole, "");
+  } else if (ended.end == UpstreamEnd::kNotSent) {
+    End(now, ended.run, RunEnd::kNotRun, ended.detail);
+    m_units.AskForInventory();
+  } else if (m_state.options.pool != kModelPool) {
+    End(now, ended.run, RunEnd::kCut, ended.detail);
+  } else {
+    // why: only the engine's own account tells a broken connection from a crash
+    run->stage = RunStage::kBroken;
+    run->detail = ended.detail;
+    m_units.AskForInventory();
+  }
+  Pump(now);
+}
+
+void RunDesk::Take(TimePoint now, const InventoryReceived& inventory) {
+  const bool restarted =
+      inventory.answered && !m_engine_run.empty() && inventory.engine_run != m_engine_run;
+  const bool crashed = restarted || !inventory.answered;
+  std::vector<RunNumber> broken;
+  for (const auto& [number, run] : m_runs) {
+    if (run.stage == RunStage::kBroken)
+      broken.push_back(number);
+  }
+  if (crashed && !broken.empty()) {
+    ++m_metrics.crashes;
+    ++m_crash_count;
+  }
+  // why: unique over restarts of the agent, or two crashes could count as one
+  const std::string crash = m_state.options.vm + "/" + std::to_string(m_state.options.incarnation) +
+                            "/" + std::to_string(m_crash_count);
+  for (const RunNumber number : broken) {
+    const std::string detail = Find(number)->detail;
+    End(now, number, crashed ? RunEnd::kCrashed : RunEnd::kCut, detail, crashed ? crash : "");
+  }
+  if (inventory.answered)
+    m_engine_run = inventory.engine_run;
+  Pump(now);
+}
+
+void RunDesk::End(TimePoint now,
+                  RunNumber number,
+                  RunEnd end,
+                  const std::string& detail,
+                  const std::string& crash) {
+  Run& run = m_runs.at(number);
+  const bool held_place = run.stage == RunStage::kRunning || run.stage == RunStage::kBroken;
+  if (held_place) {
+    --m_running;
+    m_suspect_running = m_suspect_running && !run.request.suspect;
+  }
+  if (run.in_use)
+    m_units.EndUse(now, run.request.model, run.request.adapter);
+  m_queue.Remove(number);
+  m_waiting.erase(number);
+  ++m_metrics.ended[end];
+  m_numbers.erase(run.key);
+  if (end != RunEnd::kNotRun)
+    m_ended[run.key] = now;
+  Run ended = std::move(run);
+  m_runs.erase(number);
+  Tell(now, ended,
+       RunEnded{.id = ended.request.id,
+                .end = end,
+                .chunks = ended.chunks,
+                .detail = detail,
+                .crash = crash,
+                .report = Report()});
+}
+
+// --- Time
+// -----------------------------------------------------------------------------------------
+
+void RunDesk::CheckTimes(TimePoint now) {
+  for (const RunNumber number : m_queue.TakeExpired(now))
+    End(now, number, RunEnd::kNotRun, "its deadline came while it waited");
+  std::vector<RunNumber> late;
+  std::vector<RunNumber> silent;
+  for (auto& [number, run] : m_runs) {
+    if (run.stage == RunStage::kWaitingUnit && run.deadline <= now)
+      late.push_back(number);
+    const bool still = now - run.last_progress >= m_state.options.progress_timeout;
+    if (run.stage == RunStage::kRunning && still)
+      silent.push_back(number);
+    if (now - run.last_told >= kProgressPeriod)
+      Tell(now, run, RunProgress{.id = run.request.id});
+  }
+  for (const RunNumber number : late)
+    End(now, number, RunEnd::kNotRun, "its deadline came while its model was loaded");
+  for (const RunNumber number : silent) {
+    m_state.Log(LogEvent::kUpstreamSilent, {{"run", std::to_string(number)}});
+    m_state.Emit(CancelUpstreamRun{.run = number});
+    End(now, number, RunEnd::kCut, "the upstream fell silent");
+  }
+}
+
+void RunDesk::Tick(TimePoint now) {
+  CheckTimes(now);
+  std::erase_if(m_ended, [&](const auto& entry) { return now - entry.second >= kEndedLife; });
+  std::erase_if(m_routers,
+                [&](const auto& entry) { return now - entry.second.used >= kRouterLife; });
+  SendReports(now);
+  Pump(now);
+}
+
+AgentReport RunDesk::Report() const {
+  return {.running = m_running,
+          .waiting = static_cast<std::uint32_t>(m_waiting.size() + m_queue.Size()),
+          .slots = m_state.options.slots,
+          .leaving = m_state.draining,
+          .feed_revision = m_state.feed.revision(),
+          .units = m_units.Units()};
+}
+
+void RunDesk::SendReports(TimePoint now) {
+  if (now < m_next_report)
+    return;
+  const AgentReport report = Report();
+  ReportReleases(now, report);
+  if (report == m_reported)
+    return;
+  m_next_report = now + kReportPeriod;
+  m_reported = report;
+  for (const auto& [vm, router] : m_routers)
+    m_state.Emit(SendToEndpoint{.endpoint = router.endpoint, .message = report});
+}
+
+void RunDesk::ReportReleases(TimePoint now, const AgentReport& report) {
+  if (now < m_next_release_report)
+    return;
+  m_next_release_report = now + kProgressPeriod;
+  const std::string& self = m_state.options.vm;
+  for (const auto& [model, record] : m_state.view.permits()) {
+    const bool revoked = std::ranges::any_of(record.permits, [&](const Permit& permit) {
+      return permit.vm == self && permit.state == PermitState::kRevoked;
+    });
+    const bool held = std::ranges::any_of(
+        report.units, [&](const ResidentUnit& unit) { return unit.name == model; });
+    if (!revoked || held || !m_units.InventorySeen())
+      continue;
+    const std::vector<std::string> planners =
+        RendezvousOrder("planner/" + model, m_state.roster.LiveRouters());
+    if (!planners.empty())
+      m_state.SendToVm(planners.front(), report);
+  }
+}
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/agent/unit_desk.cc
@@ -0,0 +1,334 @@
+#include "core/agent/unit_desk.h"
+
+#include <algorithm>
+
+#include "common/hashing.h"
+#include "core/routing/slot_desk.h"
+
+namespace boragepick {
+
+namespace {
+
+bool IsLoad(OrderKind kind) {
+  return kind == OrderKind::kLoadModel || kind == OrderKind::kLoadAdapter;
+}
+
+}  // namespace
+
+bool UnitDesk::MayRun(const std::string& model) const {
+  return m_state.view.IsPermitted(model, m_state.options.vm);
+}
+
+bool UnitDesk::IsAdapter(const std::string& unit) const {
+  return m_state.view.Find(ResourceKind::kAdapter, unit) != nullptr;
+}
+
+std::uint64_t UnitDesk::MemoryOf(const std::string& unit) const {
+  const std::optional<ServedModel> served = m_state.view.Resolve(unit);
+  if (!served)
+    return 0;
+  return served->adapter.empty() ? served->memory_mb : served->adapter_memory_mb;
+}
+
+std::string UnitDesk::WeightsOf(const std::string& unit) const {
+  if (const auto* adapter = m_state.view.FindSpec<AdapterSpec>(ResourceKind::kAdapter, unit))
+    return adapter->weights;
+  const std::optional<ServedModel> served = m_state.view.Resolve(unit);
+  return served ? served->weights : "";
+}
+
+// --- Wishes
+// ---------------------------------------------------------------------------------------
+
+bool UnitDesk::Want(TimePoint now,
+                    const std::string& model,
+                    const std::string& adapter,
+                    Priority priority) {
+  if (!WantUnit(now, model, "", priority))
+    return false;
+  return adapter.empty() || WantUnit(now, adapter, model, priority);
+}
+
+bool UnitDesk::WantUnit(TimePoint now,
+                        const std::string& unit,
+                        const std::string& base,
+                        Priority priority) {
+  const LedgerEntry* entry = m_ledger.Find(unit);
+  const bool resident = entry != nullptr && entry->residency == Residency::kResident;
+  const auto weights = m_loaded_weights.find(unit);
+  const bool current = weights == m_loaded_weights.end() || weights->second == WeightsOf(unit);
+  if (resident && current) {
+    m_wishes.erase(unit);
+    return true;
+  }
+  if (resident && entry->users == 0)
+    OrderUnload(unit, LogEvent::kModelEvicted);
+  const bool on_the_way = entry != nullptr && entry->residency == Residency::kLoading;
+  if (on_the_way)
+    return false;
+  Wish& wish = m_wishes[unit];
+  wish.base_model = base;
+  wish.priority = std::min(wish.priority, priority);
+  if (wish.slot_number == 0) {
+    wish.priority = priority;
+    wish.slot_number = ++m_last_slot;
+    wish.slot_asked = now;
+    wish.next_ask = now;
+  }
+  return false;
+}
+
+std::string UnitDesk::SlotPoolOf(const Wish& wish) {
+  return wish.base_model.empty() ? kWeightSlots : kAdapterSlots;
+}
+
+void UnitDesk::AskForSlot(TimePoint now, Wish& wish, bool done) {
+  const std::string pool = SlotPoolOf(wish);
+  const std::vector<std::string> order =
+      RendezvousOrder("slots/" + pool, m_state.roster.LiveRouters());
+  wish.next_ask = now + SlotDesk::kAskPeriod;
+  if (order.empty())
+    return;
+  m_state.SendToVm(
+      order.front(),
+      SlotAsk{.number = wish.slot_number, .pool = pool, .priority = wish.priority, .done = done});
+}
+
+void UnitDesk::GiveSlotBack(std::uint64_t number, const std::string& pool) {
+  const std::vector<std::string> order =
+      RendezvousOrder("slots/" + pool, m_state.roster.LiveRouters());
+  if (!order.empty())
+    m_state.SendToVm(order.front(), SlotAsk{.number = number, .pool = pool, .done = true});
+}
+
+void UnitDesk::Take(TimePoint /*now*/, const SlotGrant& grant) {
+  for (auto& [unit, wish] : m_wishes) {
+    if (wish.slot_number != grant.number || SlotPoolOf(wish) != grant.pool)
+      continue;
+    wish.slot_answered = true;
+    wish.slot_granted = wish.slot_granted || grant.granted;
+    return;
+  }
+}
+
+bool UnitDesk::HasPlace(TimePoint now, const std::string& /*unit*/, Wish& wish) {
+  if (wish.slot_granted)
+    return true;
+  if (now >= wish.next_ask)
+    AskForSlot(now, wish, false);
+  // why: places spare the weight store; a cold start doesn't wait for a router that is gone
+  return !wish.slot_answered && now - wish.slot_asked >= kSlotPatience;
+}
+
+// --- Loads
+// ----------------------------------------------------------------------------------------
+
+void UnitDesk::Advance(TimePoint now) {
+  // why: before the engine has told what it holds, its free memory is not known
+  if (!m_inventory_seen)
+    return;
+  std::vector<std::string> started;
+  for (auto& [unit, wish] : m_wishes) {
+    const std::uint64_t needed_mb = MemoryOf(unit);
+    const bool base_ready = wish.base_model.empty() || m_ledger.Find(wish.base_model) != nullptr;
+    const bool permitted = MayRun(wish.base_model.empty() ? unit : wish.base_model);
+    if (!base_ready || !permitted || m_ledger.Find(unit) != nullptr)
+      continue;
+    if (!MakeRoom(now, unit, needed_mb) || !HasPlace(now, unit, wish))
+      continue;
+    StartLoad(now, unit, wish);
+    started.push_back(unit);
+  }
+  for (const std::string& unit : started)
+    m_wishes.erase(unit);
+}
+
+bool UnitDesk::MakeRoom(TimePoint now, const std::string& /*unit*/, std::uint64_t needed_mb) {
+  if (needed_mb <= m_ledger.FreeMb())
+    return true;
+  const std::optional<std::vector<std::string>> victims = m_ledger.PlanEviction(now, needed_mb);
+  if (!victims)
+    return false;
+  for (const std::string& victim : *victims)
+    OrderUnload(victim, LogEvent::kModelEvicted);
+  return false;
+}
+
+void UnitDesk::StartLoad(TimePoint now, const std::string& unit, const Wish& wish) {
+  const std::uint64_t fence = m_state.NextFence();
+  const std::uint64_t memory_mb = MemoryOf(unit);
+  if (!m_ledger.StartLoad(now, unit, memory_mb, fence))
+    return;
+  const bool adapter = !wish.base_model.empty();
+  const OrderKind kind = adapter ? OrderKind::kLoadAdapter : OrderKind::kLoadModel;
+  m_orders[fence] = {.kind = kind,
+                     .unit = unit,
+                     .sent = now,
+                     .slot_number = wish.slot_number,
+                     .slot_pool = SlotPoolOf(wish)};
+  m_loaded_weights[unit] = WeightsOf(unit);
+  ++m_metrics.loads;
+  m_state.Log(LogEvent::kLoadStarted,
+              {{"unit", unit},
+               {"memory_mb", std::to_string(memory_mb)},
+               {"free_mb", std::to_string(m_ledger.FreeMb())},
+               {"priority", std::string(kPriorityNames.Name(wish.priority))},
+               {"fence", std::to_string(fence)}});
+  m_state.Emit(SendOrder{.fence = fence,
+                         .kind = kind,
+                         .name = unit,
+                         .weights = WeightsOf(unit),
+                         .base_model = wish.base_model,
+                         .memory_mb = memory_mb});
+}
+
+void UnitDesk::OrderUnload(const std::string& unit, LogEvent reason) {
+  const LedgerEntry* entry = m_ledger.Find(unit);
+  if (entry == nullptr || entry->residency == Residency::kUnloading)
+    return;
+  const std::uint64_t fence = m_state.NextFence();
+  const OrderKind kind = IsAdapter(unit) ? OrderKind::kUnloadAdapter : OrderKind::kUnloadModel;
+  m_ledger.StartUnload(unit, fence);
+  m_orders[fence] = {.kind = kind, .unit = unit};
+  ++m_metrics.unloads;
+  m_state.Log(reason, {{"unit", unit}, {"fence", std::to_string(fence)}});
+  m_state.Emit(SendOrder{.fence = fence, .kind = kind, .name = unit});
+}
+
+void UnitDesk::Take(TimePoint now, const OrderAnswered& answer) {
+  const auto found = m_orders.find(answer.fence);
+  if (found == m_orders.end())
+    return;
+  const OpenOrder order = found->second;
+  m_orders.erase(found);
+  const bool load = IsLoad(order.kind);
+  if (load)
+    GiveSlotBack(order.slot_number, order.slot_pool);
+  if (answer.result == OrderResult::kDone) {
+    if (load) {
+      m_ledger.LoadDone(now, order.unit, answer.fence);
+      m_metrics.load_seconds.Add(ToSeconds(now - order.sent));
+      m_state.Log(LogEvent::kLoadFinished,
+                  {{"unit", order.unit}, {"seconds", std::to_string(ToSeconds(now - order.sent))}});
+    } else {
+      m_ledger.UnloadDone(order.unit, answer.fence);
+    }
+    return;
+  }
+  m_state.Log(LogEvent::kLoadFailed,
+              {{"unit", order.unit},
+               {"order", std::string(kOrderKindNames.Name(order.kind))},
+               {"result", std::string(kOrderResultNames.Name(answer.result))},
+               {"detail", answer.detail}});
+  if (load)
+    ++m_metrics.load_failures;
+  if (load && answer.result == OrderResult::kRefused) {
+    m_ledger.LoadRefused(order.unit, answer.fence);
+    m_refused.insert(order.unit);
+    return;
+  }
+  m_ledger.OrderUnknown(order.unit, answer.fence);
+  AskForInventory();
+}
+
+void UnitDesk::AskForInventory() {
+  m_state.Emit(AskInventory{.fence = m_state.last_fence});
+}
+
+void UnitDesk::Take(TimePoint now, const InventoryReceived& inventory) {
+  if (!inventory.answered)
+    return;
+  m_inventory_seen = true;
+  for (const std::string& unit :
+       m_ledger.ApplyInventory(now, inventory.items, inventory.asked_at_fence))
+    m_loaded_weights[unit] = WeightsOf(unit);
+}
+
+// --- Unloads
+// --------------------------------------------------------------------------------------
+
+bool UnitDesk::IsStale(TimePoint now, const std::string& unit, const LedgerEntry& entry) const {
+  const std::optional<ServedModel> served = m_state.view.Resolve(unit);
+  if (!served || served->idle_unload_seconds == 0)
+    return false;
+  return now - entry.last_used >= std::chrono::seconds(served->idle_unload_seconds);
+}
+
+void UnitDesk::UnloadUnwanted(TimePoint now) {
+  if (!m_state.feed.HasView() || !m_inventory_seen)
+    return;
+  std::vector<std::string> unpermitted;
+  std::vector<std::string> stale;
+  std::vector<std::string> unknown;
+  for (const auto& [unit, entry] : m_ledger.entries()) {
+    const std::optional<ServedModel> served = m_state.view.Resolve(unit);
+    const bool permitted = served && MayRun(served->model);
+    if (entry.residency == Residency::kUnknown)
+      unknown.push_back(unit);
+    if (entry.residency != Residency::kResident || entry.users > 0)
+      continue;
+    if (!permitted)
+      unpermitted.push_back(unit);
+    else if (IsStale(now, unit, entry))
+      stale.push_back(unit);
+  }
+  for (const std::string& unit : unpermitted)
+    OrderUnload(unit, LogEvent::kUnpermittedUnloaded);
+  // why: an order whose end is not known is undone by a later one; then its memory is certain
+  for (const std::string& unit : unknown)
+    OrderUnload(unit, LogEvent::kModelEvicted);
+  for (const std::string& unit : stale)
+    OrderUnload(unit, LogEvent::kModelEvicted);
+}
+
+void UnitDesk::Tick(TimePoint now) {
+  if (m_last_tick != kNever) {
+    for (const auto& [unit, entry] : m_ledger.entries()) {
+      if (entry.residency == Residency::kResident && entry.users == 0 && !IsAdapter(unit))
+        m_metrics.idle_resident_seconds += ToSeconds(now - m_last_tick);
+    }
+  }
+  m_last_tick = now;
+  // why: a place is kept only while its holder repeats the ask
+  for (const auto& [fence, order] : m_orders) {
+    if (!IsLoad(order.kind) || now < m_next_slot_renewal)
+      continue;
+    const std::vector<std::string> router =
+        RendezvousOrder("slots/" + order.slot_pool, m_state.roster.LiveRouters());
+    if (!router.empty())
+      m_state.SendToVm(router.front(),
+                       SlotAsk{.number = order.slot_number, .pool = order.slot_pool});
+  }
+  if (now >= m_next_slot_renewal)
+    m_next_slot_renewal = now + SlotDesk::kAskPeriod;
+  if (now >= m_next_inventory) {
+    m_next_inventory = now + (m_inventory_seen ? kInventoryPeriod : kInventoryPeriod / 10);
+    AskForInventory();
+  }
+  UnloadUnwanted(now);
+  Advance(now);
+}
+
+void UnitDesk::StartUse(TimePoint now, const std::string& model, const std::string& adapter) {
+  m_ledger.StartUse(now, model);
+  if (!adapter.empty())
+    m_ledger.StartUse(now, adapter);
+}
+
+void UnitDesk::EndUse(TimePoint now, const std::string& model, const std::string& adapter) {
+  m_ledger.EndUse(now, model);
+  if (!adapter.empty())
+    m_ledger.EndUse(now, adapter);
+}
+
+std::vector<ResidentUnit> UnitDesk::Units() const {
+  std::vector<ResidentUnit> units;
+  for (const auto& [name, entry] : m_ledger.entries()) {
+    // why: adapters are many and small; routers choose by the model
+    if (!IsAdapter(name))
+      units.push_back({.name = name, .residency = entry.residency});
+  }
+  return units;
+}
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/config/config_view.h
@@ -0,0 +1,71 @@
+// The configuration in force at one node, indexed for the questions that each request asks.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/config/resources.h"
+#include "core/feed/feed_item.h"
+
+namespace boragepick {
+
+// A model or adapter as callers name it, resolved.
+struct ServedModel {
+  std::string model;
+  std::uint32_t memory_mb = 0;
+  std::string weights;
+  std::uint32_t idle_unload_seconds = 0;
+  // Empty for a model without adapter.
+  std::string adapter;
+  std::uint32_t adapter_memory_mb = 0;
+};
+
+class ConfigView {
+ public:
+  void Apply(const FeedItem& item);
+
+  const Resource* Find(ResourceKind kind, const std::string& name) const;
+  const std::map<std::string, Resource>& All(ResourceKind kind) const;
+  template <typename Spec>
+  const Spec* FindSpec(ResourceKind kind, const std::string& name) const {
+    const Resource* resource = Find(kind, name);
+    return resource == nullptr ? nullptr : std::get_if<Spec>(&resource->spec);
+  }
+
+  // The team of a key; nothing for one that is unknown or withdrawn.
+  std::optional<std::string> TeamOfKey(const std::string& sha256) const;
+  // The route with the longest matching prefix.
+  const RouteSpec* RouteFor(std::string_view path) const;
+  std::optional<ServedModel> Resolve(const std::string& name) const;
+
+  const PermitRecord* PermitsOf(const std::string& model) const;
+  const std::map<std::string, PermitRecord>& permits() const { return m_permits; }
+  // The models that `vm` may have loaded.
+  bool IsPermitted(const std::string& model, const std::string& vm) const;
+
+  // Whether `resource` can replace what is there: what it names must exist. Throws Error at
+  // Step::kValidateDocument.
+  void CheckReferences(const Resource& resource) const;
+  // Whether it can be deleted: nothing else may name it.
+  void CheckUnused(ResourceKind kind, const std::string& name) const;
+
+ private:
+  void Set(const Resource& resource);
+  void Unset(ResourceKind kind, const std::string& name);
+
+  std::map<ResourceKind, std::map<std::string, Resource>> m_resources;
+  std::unordered_map<std::string, std::string> m_team_by_key;
+  std::map<std::string, PermitRecord> m_permits;
+  // What each feed key stands for, so that tombstones find it.
+  struct Place {
+    std::optional<ResourceKind> kind;
+    std::string name;
+  };
+  std::map<std::string, Place> m_places;
+};
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/feed/feed_node.cc
@@ -0,0 +1,257 @@
+#include "core/feed/feed_node.h"
+
+#include <algorithm>
+
+#include "common/hashing.h"
+
+namespace boragepick {
+
+namespace {
+
+// The watch counts as silent when so many probes in a row showed what it had not brought.
+constexpr std::uint32_t kMismatchesToRestart = 2;
+
+}  // namespace
+
+Duration FeedNode::Age(TimePoint now) const {
+  return HasView() ? now - m_fresh_at : Duration::max();
+}
+
+std::vector<std::string> FeedNode::RelayOrder(const Roster& roster) const {
+  std::vector<std::string> routers = roster.LiveRoutersIn(m_options.data_centre);
+  if (routers.empty())
+    routers = roster.LiveRouters();
+  // why: the routers of a data centre must agree on one relay, while agents spread over the routers
+  const bool is_router = m_options.role == NodeRole::kRouter;
+  const std::string duty =
+      is_router ? "feed-relay/" + m_options.data_centre : "feed-relay-of/" + m_options.vm;
+  return RendezvousOrder(duty, routers);
+}
+
+void FeedNode::Tick(TimePoint now, const Roster& roster) {
+  std::erase_if(m_subscribers,
+                [&](const auto& s) { return now - s.second.heard > kSubscriberLife; });
+  ChooseRelay(now, roster);
+  FollowRelay(now, roster);
+  if (m_watching && now >= m_next_probe) {
+    m_next_probe = now + kProbePeriod;
+    m_effects.push_back(ProbeFeed{});
+  }
+  const bool polls = m_watching || (roster.version() == 0 && m_options.role == NodeRole::kRouter);
+  if (polls && now >= m_next_vm_list) {
+    m_next_vm_list = now + kVmListPeriod;
+    m_effects.push_back(PollVmList{.known_version = roster.version()});
+  }
+}
+
+void FeedNode::ChooseRelay(TimePoint now, const Roster& roster) {
+  if (!m_relay.empty() && m_relay_heard != kNever && now - m_relay_heard > kRelayTimeout) {
+    m_silent_until[m_relay] = now + kRelayRetry;
+    m_relay.clear();
+  }
+  std::erase_if(m_silent_until, [&](const auto& entry) { return entry.second <= now; });
+  const std::vector<std::string> order = RelayOrder(roster);
+  std::string chosen;
+  for (const std::string& vm : order) {
+    if (vm == m_options.vm || !m_silent_until.contains(vm)) {
+      chosen = vm;
+      break;
+    }
+  }
+  const bool alone = chosen.empty() || chosen == m_options.vm;
+  if (alone && m_options.role == NodeRole::kRouter) {
+    m_relay.clear();
+    Watch(now);
+    return;
+  }
+  if (chosen.empty() || chosen == m_relay)
+    return;
+  m_relay = chosen;
+  m_relay_heard = now;
+  m_next_subscribe = now;
+  m_effects.push_back(RelayReplaced{.relay = chosen});
+}
+
+void FeedNode::FollowRelay(TimePoint now, const Roster& roster) {
+  if (now < m_next_subscribe)
+    return;
+  m_next_subscribe = now + kSubscribePeriod;
+  if (!m_relay.empty()) {
+    const RosterEntry* relay = roster.Find(m_relay);
+    if (relay != nullptr)
+      Subscribe(now, relay->peer_endpoint);
+  }
+  if (roster.version() == 0 || !HasView())
+    SubscribeToSeeds(now);
+  if (!HasView() || Age(now) > kStaleAge)
+    SubscribeElsewhere(now, roster);
+}
+
+void FeedNode::Subscribe(TimePoint now, const std::string& endpoint) {
+  const InForce behind = InForceBehind(now);
+  m_effects.push_back(SendToEndpoint{.endpoint = endpoint,
+                                     .message = FeedSubscribe{.revision = m_store.revision(),
+                                                              .roster_version = m_roster_version,
+                                                              .data_centre = m_options.data_centre,
+                                                              .nodes = behind.nodes,
+                                                              .lowest_in_force = behind.lowest}});
+}
+
+void FeedNode::SubscribeToSeeds(TimePoint now) {
+  for (const std::string& seed : m_options.seeds)
+    Subscribe(now, seed);
+}
+
+void FeedNode::SubscribeElsewhere(TimePoint now, const Roster& roster) {
+  const std::vector<std::string>& routers = roster.LiveRouters();
+  if (routers.empty())
+    return;
+  const std::string& vm = routers[m_elsewhere++ % routers.size()];
+  if (vm != m_options.vm && vm != m_relay)
+    Subscribe(now, roster.Find(vm)->peer_endpoint);
+}
+
+void FeedNode::Watch(TimePoint now) {
+  if (m_watching)
+    return;
+  m_watching = true;
+  m_snapshot_seen = false;
+  m_probe_mismatches = 0;
+  m_next_probe = now + kProbePeriod;
+  m_effects.push_back(StartWatch{.revision = 0});
+}
+
+void FeedNode::Unwatch() {
+  if (!m_watching)
+    return;
+  m_watching = false;
+  m_effects.push_back(StopWatch{});
+}
+
+void FeedNode::HandleSubscribe(TimePoint now,
+                               const PeerSender& from,
+                               const FeedSubscribe& subscribe,
+                               const Roster& roster) {
+  Subscriber& subscriber = m_subscribers[from.vm];
+  // why: a restarted subscriber holds nothing of what its earlier run was sent
+  if (subscriber.endpoint != from.endpoint || subscribe.revision < subscriber.in_force)
+    subscriber = {};
+  subscriber.endpoint = from.endpoint;
+  subscriber.in_force = subscribe.revision;
+  // why: what was sent before and is still not in force has been lost
+  subscriber.sent = subscribe.revision;
+  subscriber.roster_sent = subscribe.roster_version;
+  subscriber.heard = now;
+  subscriber.behind = {.nodes = subscribe.nodes, .lowest = subscribe.lowest_in_force};
+  SendNews(subscriber, &roster.list());
+  const InForce behind = InForceBehind(now);
+  if (HasView()) {
+    m_effects.push_back(SendToEndpoint{.endpoint = from.endpoint,
+                                       .message = FeedFresh{.revision = m_store.revision(),
+                                                            .roster_version = roster.version(),
+                                                            .age = Age(now),
+                                                            .nodes = behind.nodes,
+                                                            .lowest_in_force = behind.lowest}});
+  }
+}
+
+void FeedNode::SendNews(Subscriber& subscriber, const RosterList* list) {
+  const bool feed_news = HasView() && (subscriber.sent < m_store.revision());
+  if (feed_news) {
+    m_effects.push_back(
+        SendToEndpoint{.endpoint = subscriber.endpoint, .message = m_store.Since(subscriber.sent)});
+    subscriber.sent = m_store.revision();
+  }
+  if (list != nullptr && subscriber.roster_sent < list->version) {
+    m_effects.push_back(SendToEndpoint{.endpoint = subscriber.endpoint, .message = *list});
+    subscriber.roster_sent = list->version;
+  }
+}
+
+void FeedNode::Publish() {
+  for (auto& [vm, subscriber] : m_subscribers)
+    SendNews(subscriber, nullptr);
+}
+
+void FeedNode::HandleFresh(TimePoint now, const PeerSender& from, const FeedFresh& fresh) {
+  if (from.vm == m_relay) {
+    m_relay_heard = now;
+    m_at_relay = {.nodes = fresh.nodes, .lowest = fresh.lowest_in_force};
+    // why: a relay that answers makes a watch of one's own needless
+    if (m_options.role == NodeRole::kRouter)
+      Unwatch();
+  }
+  if (fresh.revision > m_store.revision())
+    return;
+  const TimePoint fresh_at = now - fresh.age;
+  if (m_fresh_at == kNever || fresh_at > m_fresh_at)
+    m_fresh_at = fresh_at;
+}
+
+void FeedNode::HandleUpdate(TimePoint now, const PeerSender& /*from*/, const FeedUpdate& update) {
+  Accept(now, update);
+}
+
+void FeedNode::Accept(TimePoint now, const FeedUpdate& update) {
+  std::vector<FeedItem> changed;
+  const bool first = !HasView();
+  if (!m_store.Apply(update, changed))
+    return;
+  if (first)
+    m_fresh_at = now;
+  if (!changed.empty()) {
+    m_effects.push_back(FeedChanged{.items = std::move(changed), .from_snapshot = update.snapshot});
+  }
+  Publish();
+}
+
+void FeedNode::HandleRosterList(TimePoint /*now*/, const RosterList& list, const Roster& roster) {
+  if (list.version <= roster.version() && roster.version() != 0)
+    return;
+  m_roster_version = list.version;
+  m_effects.push_back(RosterReplaced{.list = list});
+  for (auto& [vm, subscriber] : m_subscribers)
+    SendNews(subscriber, &list);
+}
+
+void FeedNode::PlatformUpdate(TimePoint now, const FeedUpdate& update) {
+  if (!m_watching)
+    return;
+  m_snapshot_seen = m_snapshot_seen || update.snapshot;
+  if (update.snapshot || update.revision >= m_store.revision())
+    m_fresh_at = now;
+  Accept(now, update);
+}
+
+void FeedNode::PlatformLost(TimePoint /*now*/) {
+  m_probe_mismatches = 0;
+}
+
+void FeedNode::PlatformProbed(TimePoint now, Revision newest, std::size_t items) {
+  if (!m_watching)
+    return;
+  const bool agrees = m_snapshot_seen && newest <= m_store.revision() && items == m_store.Size();
+  if (agrees) {
+    m_probe_mismatches = 0;
+    m_fresh_at = now;
+    return;
+  }
+  ++m_probe_mismatches;
+  if (m_probe_mismatches < kMismatchesToRestart)
+    return;
+  m_probe_mismatches = 0;
+  m_effects.push_back(StartWatch{.revision = 0});
+}
+
+FeedNode::InForce FeedNode::InForceBehind(TimePoint now) const {
+  InForce all{.nodes = 1, .lowest = m_store.revision()};
+  for (const auto& [vm, subscriber] : m_subscribers) {
+    if (now - subscriber.heard > kSubscriberLife)
+      continue;
+    all.nodes += std::max<std::uint32_t>(subscriber.behind.nodes, 1);
+    all.lowest = std::min({all.lowest, subscriber.in_force, subscriber.behind.lowest});
+  }
+  return all;
+}
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/feed/feed_node.h
@@ -0,0 +1,159 @@
+// The configuration feed at one node. In each data centre one router, found by rendezvous hashing,
+// watches the platform's service; the other routers subscribe to it and the agents to the routers.
+// Any router can watch at any time: a relay that falls silent is passed over.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "common/time.h"
+#include "core/feed/feed_store.h"
+#include "core/peer_messages.h"
+#include "core/roster/roster.h"
+
+namespace boragepick {
+
+// Effects.
+struct StartWatch {
+  // Watch what comes after it; 0 asks for a snapshot first.
+  Revision revision = 0;
+};
+struct StopWatch {};
+// Ask the service for the newest revision and the number of items under the feed's prefix.
+struct ProbeFeed {};
+struct PollVmList {
+  std::uint64_t known_version = 0;
+};
+struct SendToEndpoint {
+  std::string endpoint;
+  PeerMessage message;
+};
+// These items are in force now.
+struct FeedChanged {
+  std::vector<FeedItem> items;
+  bool from_snapshot = false;
+};
+struct RosterReplaced {
+  RosterList list;
+};
+struct RelayReplaced {
+  std::string relay;
+};
+using FeedEffect = std::variant<StartWatch,
+                                StopWatch,
+                                ProbeFeed,
+                                PollVmList,
+                                SendToEndpoint,
+                                FeedChanged,
+                                RosterReplaced,
+                                RelayReplaced>;
+
+struct FeedNodeOptions {
+  std::string vm;
+  std::string data_centre;
+  NodeRole role = NodeRole::kRouter;
+  // Routers to ask while no list of VMs is known: "ip:port".
+  std::vector<std::string> seeds;
+};
+
+class FeedNode {
+ public:
+  static constexpr Duration kSubscribePeriod = std::chrono::seconds(1);
+  // A relay that has not answered for so long is passed over.
+  static constexpr Duration kRelayTimeout = std::chrono::milliseconds(2500);
+  // A relay that was passed over is tried again after so long.
+  static constexpr Duration kRelayRetry = std::chrono::seconds(10);
+  static constexpr Duration kProbePeriod = std::chrono::seconds(2);
+  static constexpr Duration kVmListPeriod = std::chrono::seconds(1);
+  // A view older than this looks for a fresher one in other data centres.
+  static constexpr Duration kStaleAge = std::chrono::seconds(3);
+  static constexpr Duration kSubscriberLife = std::chrono::seconds(5);
+
+  explicit FeedNode(FeedNodeOptions options) : m_options(std::move(options)) {}
+
+  void Tick(TimePoint now, const Roster& roster);
+
+  void HandleSubscribe(TimePoint now,
+                       const PeerSender& from,
+                       const FeedSubscribe& subscribe,
+                       const Roster& roster);
+  void HandleFresh(TimePoint now, const PeerSender& from, const FeedFresh& fresh);
+  void HandleUpdate(TimePoint now, const PeerSender& from, const FeedUpdate& update);
+  void HandleRosterList(TimePoint now, const RosterList& list, const Roster& roster);
+
+  // From the platform's service, by the watch of this node.
+  void PlatformUpdate(TimePoint now, const FeedUpdate& update);
+  void PlatformLost(TimePoint now);
+  // The answer to a probe.
+  void PlatformProbed(TimePoint now, Revision newest, std::size_t items);
+
+  bool HasView() const { return m_fresh_at != kNever; }
+  // How old the view may be.
+  Duration Age(TimePoint now) const;
+  Revision revision() const { return m_store.revision(); }
+  const FeedStore& store() const { return m_store; }
+  bool watching() const { return m_watching; }
+  const std::string& relay() const { return m_relay; }
+
+  struct InForce {
+    std::uint32_t nodes = 1;
+    Revision lowest = 0;
+  };
+  // Over this node and those that subscribe to it.
+  InForce InForceBehind(TimePoint now) const;
+  // The same as told by this node's relay.
+  const InForce& in_force_at_relay() const { return m_at_relay; }
+
+  std::vector<FeedEffect> TakeEffects() { return std::exchange(m_effects, {}); }
+
+ private:
+  struct Subscriber {
+    std::string endpoint;
+    Revision in_force = 0;
+    // What was sent already, so that a delta goes out once.
+    Revision sent = 0;
+    std::uint64_t roster_sent = 0;
+    TimePoint heard;
+    InForce behind;
+  };
+
+  std::vector<std::string> RelayOrder(const Roster& roster) const;
+  void ChooseRelay(TimePoint now, const Roster& roster);
+  void FollowRelay(TimePoint now, const Roster& roster);
+  void Watch(TimePoint now);
+  void Unwatch();
+  void Subscribe(TimePoint now, const std::string& endpoint);
+  void SubscribeToSeeds(TimePoint now);
+  void SubscribeElsewhere(TimePoint now, const Roster& roster);
+  void Accept(TimePoint now, const FeedUpdate& update);
+  void Publish();
+  void SendNews(Subscriber& subscriber, const RosterList* list);
+
+  FeedNodeOptions m_options;
+  FeedStore m_store;
+  TimePoint m_fresh_at = kNever;
+  std::vector<FeedEffect> m_effects;
+
+  bool m_watching = false;
+  bool m_snapshot_seen = false;
+  std::uint32_t m_probe_mismatches = 0;
+  TimePoint m_next_probe = TimePoint{};
+  TimePoint m_next_vm_list = TimePoint{};
+
+  std::string m_relay;
+  // Relays passed over, and until when.
+  std::map<std::string, TimePoint> m_silent_until;
+  TimePoint m_relay_heard = kNever;
+  TimePoint m_next_subscribe = TimePoint{};
+  std::size_t m_elsewhere = 0;
+  InForce m_at_relay;
+
+  std::uint64_t m_roster_version = 0;
+  std::map<std::string, Subscriber> m_subscribers;
+};
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/once/once_owner.cc
@@ -0,0 +1,415 @@
+#include "core/once/once_owner.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace boragepick {
+
+namespace {
+
+bool IsClaimOf(const OnceEntry& entry, const ProcessId& from, std::uint64_t token) {
+  return entry.runner == from && entry.token == token;
+}
+
+OnceVerdict VerdictFor(const OnceEntry& entry, std::uint64_t token) {
+  OnceVerdict verdict{.token = token, .kind = OnceVerdictKind::kUnknown};
+  if (entry.state == ClaimState::kDone) {
+    verdict.kind = entry.answer_kept ? OnceVerdictKind::kReplay : OnceVerdictKind::kRan;
+    verdict.answer = entry.answer;
+  }
+  return verdict;
+}
+
+void ApplyEnding(const ProcessId& from, const OnceOutcome& outcome, OncePage& page) {
+  const auto found = page.entries.find(outcome.claim_id);
+  if (found == page.entries.end() || !IsClaimOf(found->second, from, outcome.token))
+    return;
+  OnceEntry& entry = found->second;
+  if (entry.state != ClaimState::kClaimed)
+    return;
+  if (outcome.result == OnceResult::kNotRun) {
+    page.entries.erase(found);
+    return;
+  }
+  const bool whole = outcome.result == OnceResult::kWhole;
+  entry.state = whole ? ClaimState::kDone : ClaimState::kLost;
+  entry.answer_kept = whole && outcome.answer.body.size() <= kMaxKeptAnswerBytes;
+  if (entry.answer_kept)
+    entry.answer = outcome.answer;
+}
+
+// Whether the stored page shows nothing more to do for that ending.
+bool IsEnded(const OncePage& page, const ProcessId& from, const OnceOutcome& outcome) {
+  const auto found = page.entries.find(outcome.claim_id);
+  const bool open = found != page.entries.end() && IsClaimOf(found->second, from, outcome.token) &&
+                    found->second.state == ClaimState::kClaimed;
+  return !open;
+}
+
+template <typename Element>
+void AppendTo(std::vector<Element>& target, std::vector<Element> elements) {
+  std::ranges::move(elements, std::back_inserter(target));
+}
+
+}  // namespace
+
+OnceOwner::PageState& OnceOwner::StateOf(const std::string& claim_id) {
+  const std::uint32_t page = OncePageOf(claim_id);
+  PageState& state = m_pages[page];
+  state.stored.page = page;
+  return state;
+}
+
+void OnceOwner::SendVerdict(const ProcessId& to, OnceVerdict verdict) {
+  m_effects.push_back(OnceSend{.vm = to.vm, .message = std::move(verdict)});
+}
+
+bool OnceOwner::MayOwn(TimePoint now, const OncePage& record, const Roster& roster) const {
+  // why: a VM that the list doesn't show would be taken for gone, and its page with it
+  if (m_released || roster.Find(m_self.vm) == nullptr)
+    return false;
+  if (record.owner.vm.empty() || record.owner.vm == m_self.vm)
+    return true;
+  return roster.ProvenGone(now, record.owner);
+}
+
+void OnceOwner::HandleClaim(TimePoint now,
+                            const ProcessId& from,
+                            const OnceClaim& claim,
+                            const Roster& roster) {
+  PageState& state = StateOf(claim.claim_id);
+  const Claimant claimant{.from = from, .claim = claim, .arrived = now};
+  if (state.status == PageStatus::kOwned) {
+    Decide(now, state, claimant, roster);
+  } else {
+    state.unread.push_back(claimant);
+    if (state.status == PageStatus::kForeign && now < state.foreign_until) {
+      RedirectAll(state);
+      return;
+    }
+  }
+  Advance(now, state);
+}
+
+void OnceOwner::HandleOutcome(TimePoint now, const ProcessId& from, const OnceOutcome& outcome) {
+  PageState& state = StateOf(outcome.claim_id);
+  if (state.status == PageStatus::kForeign && now < state.foreign_until) {
+    SendVerdict(from, {.token = outcome.token,
+                       .kind = OnceVerdictKind::kRedirect,
+                       .owner_vm = state.stored.owner.vm});
+    return;
+  }
+  const auto same = [&](const Ending& ending) {
+    return ending.from == from && ending.outcome.token == outcome.token;
+  };
+  const bool doubled = std::ranges::any_of(state.changes.endings, same) ||
+                       std::ranges::any_of(state.writing.endings, same);
+  if (doubled)
+    return;
+  WithdrawClaim(state, from, outcome.token);
+  const bool being_written = std::ranges::any_of(state.writing.claims, [&](const Claimant& other) {
+    return other.from == from && other.claim.token == outcome.token;
+  });
+  const bool certain = state.status == PageStatus::kOwned && !state.must_read && !being_written;
+  if (certain && IsEnded(state.stored, from, outcome)) {
+    m_effects.push_back(OnceSend{.vm = from.vm, .message = OnceOutcomeStored{outcome.token}});
+    return;
+  }
+  state.changes.endings.push_back({.from = from, .outcome = outcome});
+  Advance(now, state);
+}
+
+void OnceOwner::WithdrawClaim(PageState& state, const ProcessId& from, std::uint64_t token) {
+  const auto same = [&](const Claimant& claimant) {
+    return claimant.from == from && claimant.claim.token == token;
+  };
+  std::erase_if(state.changes.claims, same);
+  std::erase_if(state.unread, same);
+  std::erase_if(state.running, [&](const auto& entry) { return same(entry.second); });
+}
+
+void OnceOwner::Decide(TimePoint now,
+                       PageState& state,
+                       const Claimant& claimant,
+                       const Roster& roster) {
+  const OnceClaim& claim = claimant.claim;
+  for (const Changes* changes : {&state.changes, &state.writing}) {
+    for (const Claimant& other : changes->claims) {
+      if (other.claim.claim_id != claim.claim_id)
+        continue;
+      const bool doubled = other.from == claimant.from && other.claim.token == claim.token;
+      if (!doubled)
+        state.running.emplace(claim.claim_id, claimant);
+      return;
+    }
+  }
+  const auto entry = state.stored.entries.find(claim.claim_id);
+  if (entry != state.stored.entries.end()) {
+    DecideKnown(now, state, claimant, entry->second, roster);
+    return;
+  }
+  if (SizeOf(state.stored) > kMaxOncePageBytes) {
+    SendVerdict(claimant.from, {.token = claim.token, .kind = KindIfUnclaimed(state)});
+    return;
+  }
+  state.changes.claims.push_back(claimant);
+}
+
+void OnceOwner::DecideKnown(TimePoint now,
+                            PageState& state,
+                            const Claimant& claimant,
+                            const OnceEntry& entry,
+                            const Roster& roster) {
+  const OnceClaim& claim = claimant.claim;
+  if (entry.request_hash != claim.request_hash) {
+    SendVerdict(claimant.from, {.token = claim.token, .kind = OnceVerdictKind::kMismatch});
+    return;
+  }
+  if (entry.state != ClaimState::kClaimed) {
+    SendVerdict(claimant.from, VerdictFor(entry, claim.token));
+    return;
+  }
+  if (IsClaimOf(entry, claimant.from, claim.token)) {
+    const auto withdrawn = [&](const Ending& ending) {
+      return ending.from == claimant.from && ending.outcome.token == claim.token;
+    };
+    const bool ending = std::ranges::any_of(state.changes.endings, withdrawn) ||
+                        std::ranges::any_of(state.writing.endings, withdrawn);
+    if (!ending)
+      SendVerdict(claimant.from, {.token = claim.token, .kind = OnceVerdictKind::kGranted});
+    return;
+  }
+  if (roster.ProvenGone(now, entry.runner)) {
+    SendVerdict(claimant.from, {.token = claim.token, .kind = OnceVerdictKind::kUnknown});
+    return;
+  }
+  state.running.emplace(claim.claim_id, claimant);
+  SendVerdict(claimant.from, {.token = claim.token, .kind = OnceVerdictKind::kInProgress});
+}
+
+OnceVerdictKind OnceOwner::KindIfUnclaimed(const PageState& state) const {
+  // why: only while it owns the page can nobody else have granted the key meanwhile
+  return state.stored.owner == m_self ? OnceVerdictKind::kNotRun : OnceVerdictKind::kUnknown;
+}
+
+void OnceOwner::Adopt(TimePoint now, std::uint32_t page) {
+  PageState& state = m_pages[page];
+  state.stored.page = page;
+  const bool known = state.status == PageStatus::kOwned ||
+                     (state.status == PageStatus::kForeign && now < state.foreign_until);
+  if (known || m_released)
+    return;
+  state.adopting = true;
+  Advance(now, state);
+}
+
+void OnceOwner::Advance(TimePoint now, PageState& state) {
+  if (state.call != Call::kNone || now < state.call_not_before)
+    return;
+  const bool wanted =
+      !state.changes.Empty() || !state.unread.empty() || state.releasing || state.adopting;
+  if (!wanted)
+    return;
+  if (state.must_read || state.status != PageStatus::kOwned)
+    Read(state);
+  else
+    Write(state);
+}
+
+void OnceOwner::Read(PageState& state) {
+  state.call = Call::kRead;
+  m_effects.push_back(OnceReadPage{.page = state.stored.page});
+}
+
+void OnceOwner::Write(PageState& state) {
+  state.written = state.stored;
+  state.written.owner = state.releasing ? ProcessId{} : m_self;
+  state.writing = std::exchange(state.changes, {});
+  for (const Claimant& claimant : state.writing.claims) {
+    state.written.entries[claimant.claim.claim_id] = {.request_hash = claimant.claim.request_hash,
+                                                      .runner = claimant.from,
+                                                      .token = claimant.claim.token,
+                                                      .order = ++state.written.last_order};
+  }
+  for (const Ending& ending : state.writing.endings)
+    ApplyEnding(ending.from, ending.outcome, state.written);
+  TrimOncePage(state.written);
+  state.call = Call::kWrite;
+  m_effects.push_back(OnceWritePage{.page = state.written});
+}
+
+void OnceOwner::PageRead(TimePoint now,
+                         std::uint32_t page,
+                         std::optional<OncePage> record,
+                         const Roster& roster) {
+  PageState& state = m_pages[page];
+  if (state.call != Call::kRead)
+    return;
+  state.call = Call::kNone;
+  state.must_read = false;
+  OncePage found = record.value_or(OncePage{});
+  found.page = page;
+  const bool mine = MayOwn(now, found, roster);
+  Become(now, state, std::move(found), mine ? PageStatus::kOwned : PageStatus::kForeign, roster);
+  Advance(now, state);
+}
+
+void OnceOwner::Become(TimePoint now,
+                       PageState& state,
+                       OncePage record,
+                       PageStatus status,
+                       const Roster& roster) {
+  state.stored = std::move(record);
+  state.status = status;
+  FinishStored(now, state, roster);
+  if (status == PageStatus::kForeign || state.stored.owner == m_self)
+    state.adopting = false;
+  if (status == PageStatus::kForeign) {
+    state.foreign_until = now + kForeignLife;
+    state.must_read = true;
+    state.releasing = false;
+    RedirectAll(state);
+    return;
+  }
+  for (const Claimant& claimant : std::exchange(state.unread, {}))
+    Decide(now, state, claimant, roster);
+}
+
+void OnceOwner::PageReadFailed(TimePoint now, std::uint32_t page) {
+  PageState& state = m_pages[page];
+  if (state.call != Call::kRead)
+    return;
+  state.call = Call::kNone;
+  state.call_not_before = now + kCallAgain;
+}
+
+void OnceOwner::PageWritten(TimePoint now,
+                            std::uint32_t page,
+                            WriteOutcome outcome,
+                            Revision revision,
+                            const Roster& roster) {
+  PageState& state = m_pages[page];
+  if (state.call != Call::kWrite)
+    return;
+  state.call = Call::kNone;
+  AppendTo(state.changes.claims, std::exchange(state.writing.claims, {}));
+  AppendTo(state.changes.endings, std::exchange(state.writing.endings, {}));
+  if (outcome == WriteOutcome::kWritten) {
+    OncePage written = std::move(state.written);
+    written.revision = revision;
+    const bool released = state.releasing;
+    state.releasing = false;
+    Become(now, state, std::move(written), released ? PageStatus::kForeign : PageStatus::kOwned,
+           roster);
+  } else {
+    // why: only the record itself can tell whether the write took effect
+    state.must_read = true;
+    if (outcome == WriteOutcome::kUnknown)
+      state.call_not_before = now + kCallAgain;
+  }
+  Advance(now, state);
+}
+
+void OnceOwner::FinishStored(TimePoint now, PageState& state, const Roster& roster) {
+  std::vector<Ending> ended;
+  for (Ending& ending : std::exchange(state.changes.endings, {})) {
+    const bool done = IsEnded(state.stored, ending.from, ending.outcome);
+    (done ? ended : state.changes.endings).push_back(std::move(ending));
+  }
+  // why: a claim that was written and withdrawn in one go isn't in the page, and must not be
+  // claimed once more
+  for (const Ending& ending : ended)
+    WithdrawClaim(state, ending.from, ending.outcome.token);
+  for (Claimant& claimant : std::exchange(state.changes.claims, {})) {
+    const auto entry = state.stored.entries.find(claimant.claim.claim_id);
+    if (entry == state.stored.entries.end())
+      state.changes.claims.push_back(std::move(claimant));
+    else
+      DecideKnown(now, state, claimant, entry->second, roster);
+  }
+  for (const Ending& ending : ended)
+    FinishEnding(now, state, ending, roster);
+}
+
+void OnceOwner::FinishEnding(TimePoint now,
+                             PageState& state,
+                             const Ending& ending,
+                             const Roster& roster) {
+  m_effects.push_back(
+      OnceSend{.vm = ending.from.vm, .message = OnceOutcomeStored{ending.outcome.token}});
+  const auto [first, last] = state.running.equal_range(ending.outcome.claim_id);
+  std::vector<Claimant> waiting;
+  for (auto it = first; it != last; ++it)
+    waiting.push_back(it->second);
+  state.running.erase(first, last);
+  for (const Claimant& claimant : waiting)
+    Decide(now, state, claimant, roster);
+}
+
+void OnceOwner::RedirectAll(PageState& state) {
+  const std::string owner = state.stored.owner.vm;
+  std::vector<Claimant> claims = std::exchange(state.unread, {});
+  AppendTo(claims, std::exchange(state.changes.claims, {}));
+  for (const auto& [id, claimant] : std::exchange(state.running, {}))
+    claims.push_back(claimant);
+  for (const Claimant& claimant : claims) {
+    SendVerdict(
+        claimant.from,
+        {.token = claimant.claim.token, .kind = OnceVerdictKind::kRedirect, .owner_vm = owner});
+  }
+  for (const Ending& ending : std::exchange(state.changes.endings, {})) {
+    SendVerdict(
+        ending.from,
+        {.token = ending.outcome.token, .kind = OnceVerdictKind::kRedirect, .owner_vm = owner});
+  }
+}
+
+void OnceOwner::ExpireClaims(TimePoint now, PageState& state) {
+  const auto expired = [&](const Claimant& c) { return now - c.arrived >= kClaimPatience; };
+  for (const Claimant& claimant : state.unread) {
+    // why: what an unread page holds is not known, so an earlier run can't be excluded
+    if (expired(claimant))
+      SendVerdict(claimant.from,
+                  {.token = claimant.claim.token, .kind = OnceVerdictKind::kUnknown});
+  }
+  std::erase_if(state.unread, expired);
+  // why: a write under way is awaited, since its claims may be granted yet
+  for (const Claimant& claimant : state.changes.claims) {
+    if (!expired(claimant))
+      continue;
+    SendVerdict(claimant.from, {.token = claimant.claim.token, .kind = KindIfUnclaimed(state)});
+    // why: an earlier write may have stored the claim; then it is taken out again
+    if (state.must_read) {
+      state.changes.endings.push_back({.from = claimant.from,
+                                       .outcome = {.claim_id = claimant.claim.claim_id,
+                                                   .token = claimant.claim.token,
+                                                   .result = OnceResult::kNotRun}});
+    }
+  }
+  std::erase_if(state.changes.claims, expired);
+}
+
+void OnceOwner::Tick(TimePoint now) {
+  for (auto& [page, state] : m_pages) {
+    ExpireClaims(now, state);
+    Advance(now, state);
+  }
+}
+
+void OnceOwner::Release() {
+  m_released = true;
+  for (auto& [page, state] : m_pages) {
+    if (state.status == PageStatus::kOwned && state.stored.owner == m_self)
+      state.releasing = true;
+  }
+}
+
+bool OnceOwner::Busy() const {
+  return std::ranges::any_of(m_pages, [](const auto& entry) {
+    const PageState& state = entry.second;
+    return state.call != Call::kNone || !state.changes.Empty() || !state.unread.empty() ||
+           state.releasing;
+  });
+}
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/quota/quota_desk.cc
@@ -0,0 +1,310 @@
+#include "core/quota/quota_desk.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "common/hashing.h"
+
+namespace boragepick {
+
+namespace {
+
+// The purse aims to hold what is spent in so long.
+constexpr Duration kAskAhead = std::chrono::milliseconds(400);
+// Weight of the newest measurement in the smoothed spend rate.
+constexpr double kSpendSmoothing = 0.3;
+constexpr Duration kUnknownWriteDelay = std::chrono::seconds(1);
+
+std::string BorrowerName(const ProcessId& process) {
+  return process.vm + "#" + std::to_string(process.incarnation);
+}
+
+}  // namespace
+
+void QuotaDesk::SetTeam(TimePoint now,
+                        const std::string& team,
+                        const TeamSpec& spec,
+                        TeamOrigin origin) {
+  Team& entry = m_teams[team];
+  entry.spec = spec;
+  entry.page = SharePageOf(team);
+  const bool full = origin == TeamOrigin::kCreated;
+  Reconfigure(now, entry,
+              full ? ShareBucket::Start::kFull : ShareBucket::Start::kEmptyAfterLoanLife);
+}
+
+void QuotaDesk::RemoveTeam(const std::string& team) {
+  m_teams.erase(team);
+}
+
+void QuotaDesk::SetPage(TimePoint now, const SharePage& page) {
+  const auto known = m_pages.find(page.page);
+  if (known != m_pages.end() && known->second.revision >= page.revision)
+    return;
+  m_pages[page.page] = page;
+  // why: the record has moved past the base of an unanswered write, so that write is decided
+  if (m_writing && m_writing->page == page.page && page.revision > m_writing->revision)
+    m_writing.reset();
+  ReconfigurePage(now, page.page, ShareBucket::Start::kEmptyAfterLoanLife);
+}
+
+std::uint32_t QuotaDesk::EffectiveUnits(std::uint32_t page) const {
+  const auto stored = m_pages.find(page);
+  std::uint32_t units = stored == m_pages.end() ? 0 : UnitsOf(stored->second, m_self);
+  if (m_writing && m_writing->page == page)
+    units = std::min(units, UnitsOf(*m_writing, m_self));
+  return units;
+}
+
+void QuotaDesk::Reconfigure(TimePoint now, Team& team, ShareBucket::Start start) {
+  const std::uint32_t units = EffectiveUnits(team.page);
+  if (team.bucket) {
+    team.bucket->Configure(now, team.spec, units);
+    return;
+  }
+  if (units > 0)
+    team.bucket.emplace(now, team.spec, units, start);
+}
+
+void QuotaDesk::ReconfigurePage(TimePoint now, std::uint32_t page, ShareBucket::Start start) {
+  for (auto& [name, team] : m_teams) {
+    if (team.page == page)
+      Reconfigure(now, team, start);
+  }
+}
+
+bool QuotaDesk::Admit(TimePoint now, const std::string& team, Tokens cost) {
+  const auto found = m_teams.find(team);
+  if (found == m_teams.end())
+    return false;
+  Team& entry = found->second;
+  const Tokens available = entry.purse.Available(now);
+  if (available < cost)
+    BorrowFromSelf(now, entry, cost - available);
+  if (!entry.purse.Spend(now, cost))
+    return false;
+  entry.spent_since_poll += cost;
+  return true;
+}
+
+void QuotaDesk::SetWaiting(const std::string& team, Tokens first, Tokens all) {
+  const auto found = m_teams.find(team);
+  if (found == m_teams.end())
+    return;
+  found->second.waiting_first = first;
+  found->second.waiting_all = all;
+}
+
+void QuotaDesk::Settle(const std::string& team, Tokens unused) {
+  const auto found = m_teams.find(team);
+  if (found != m_teams.end() && unused > 0)
+    found->second.refund += unused;
+}
+
+QuotaLoan QuotaDesk::HandleAsk(TimePoint now, const std::string& borrower, const QuotaAsk& ask) {
+  QuotaLoan answer{.team = ask.team, .number = ask.number, .tokens = 0};
+  const auto found = m_teams.find(ask.team);
+  if (found == m_teams.end() || !found->second.bucket)
+    return answer;
+  Team& team = found->second;
+  for (const ClosedLoan& loan : ask.closed)
+    team.bucket->Close(now, {.borrower = borrower, .number = loan.number}, loan.unspent);
+  std::uint64_t& refund_seen = team.refunds_seen[borrower];
+  if (ask.refund_number > refund_seen) {
+    refund_seen = ask.refund_number;
+    team.bucket->Refund(now, ask.refund);
+  }
+  if (ask.wanted > 0) {
+    const LoanId loan{.borrower = borrower, .number = ask.number};
+    answer.tokens = team.bucket->Lend(now, loan, ask.wanted);
+  }
+  return answer;
+}
+
+void QuotaDesk::HandleLoan(TimePoint now, const std::string& lender, const QuotaLoan& loan) {
+  const auto found = m_teams.find(loan.team);
+  if (found != m_teams.end())
+    found->second.purse.TakeLoan(now, lender, loan.number, loan.tokens);
+}
+
+void QuotaDesk::BorrowFromSelf(TimePoint now, Team& team, Tokens wanted) {
+  if (!team.bucket || wanted <= 0)
+    return;
+  const PurseAsk ask = team.purse.StartAsk(now, m_self.vm, wanted);
+  const LoanId loan{.borrower = BorrowerName(m_self), .number = ask.number};
+  team.purse.TakeLoan(now, m_self.vm, ask.number, team.bucket->Lend(now, loan, wanted));
+}
+
+std::vector<OutgoingAsk> QuotaDesk::Poll(TimePoint now) {
+  std::vector<OutgoingAsk> out;
+  for (auto& [name, team] : m_teams)
+    PollTeam(now, name, team, out);
+  return out;
+}
+
+Tokens QuotaDesk::MissingTokens(TimePoint now, Team& team) {
+  const double elapsed = ToSeconds(now - team.last_poll);
+  if (elapsed > 0) {
+    const double measured = static_cast<double>(team.spent_since_poll) / elapsed;
+    team.spend_rate += kSpendSmoothing * (measured - team.spend_rate);
+    team.spent_since_poll = 0;
+    team.last_poll = now;
+  }
+  const auto ahead = static_cast<Tokens>(std::llround(team.spend_rate * ToSeconds(kAskAhead)));
+  const Tokens wanted = std::max({ahead, team.waiting_first, team.waiting_all});
+  const Tokens useful = std::min<Tokens>(wanted, team.spec.burst_tokens);
+  team.purse.ReturnIdle(now, useful);
+  return useful - team.purse.Available(now) - team.purse.Awaited(now);
+}
+
+void QuotaDesk::PollTeam(TimePoint now,
+                         const std::string& name,
+                         Team& team,
+                         std::vector<OutgoingAsk>& out) {
+  Tokens missing = MissingTokens(now, team);
+  if (missing > 0 && team.bucket) {
+    const Tokens before = team.purse.Available(now);
+    BorrowFromSelf(now, team, missing);
+    missing -= team.purse.Available(now) - before;
+  }
+  ReportClosed(now, name, team, out);
+  if (missing <= 0)
+    return;
+  const std::vector<std::string> lenders = OtherLenders(name, team);
+  for (std::size_t i = 0; i < lenders.size(); ++i) {
+    const std::string& lender = lenders[(team.next_lender + i) % lenders.size()];
+    if (team.purse.IsAsking(now, lender))
+      continue;
+    team.next_lender = (team.next_lender + i + 1) % lenders.size();
+    const PurseAsk ask = team.purse.StartAsk(now, lender, missing);
+    out.push_back(
+        {.vm = lender, .ask = {.team = name, .number = ask.number, .wanted = ask.wanted}});
+    return;
+  }
+}
+
+std::vector<std::string> QuotaDesk::OtherLenders(const std::string& name, const Team& team) const {
+  std::vector<std::string> lenders;
+  const auto page = m_pages.find(team.page);
+  if (page == m_pages.end())
+    return lenders;
+  for (const ShareHolder& holder : page->second.holders) {
+    if (holder.process.vm != m_self.vm)
+      lenders.push_back(holder.process.vm);
+  }
+  // why: each router begins at another holder, so that the asks for one team spread over them
+  return RendezvousOrder(name + "/" + m_self.vm, lenders);
+}
+
+void QuotaDesk::ReportClosed(TimePoint now,
+                             const std::string& name,
+                             Team& team,
+                             std::vector<OutgoingAsk>& out) {
+  std::map<std::string, QuotaAsk> reports;
+  for (const ClosedLoan& loan : team.purse.TakeClosed())
+    reports[loan.lender].closed.push_back(loan);
+  if (team.refund > 0) {
+    const std::vector<std::string> lenders =
+        team.bucket ? std::vector<std::string>{} : OtherLenders(name, team);
+    QuotaAsk& report = reports[lenders.empty() ? m_self.vm : lenders.front()];
+    report.refund = std::exchange(team.refund, 0);
+    report.refund_number = ++team.refund_number;
+  }
+  for (auto& [lender, report] : reports) {
+    report.team = name;
+    if (lender == m_self.vm)
+      HandleAsk(now, BorrowerName(m_self), report);
+    else
+      out.push_back({.vm = lender, .ask = std::move(report)});
+  }
+}
+
+bool QuotaDesk::PageHasTeams(std::uint32_t page) const {
+  return std::ranges::any_of(m_teams, [&](const auto& team) { return team.second.page == page; });
+}
+
+std::optional<SharePage> QuotaDesk::WriteAgain(TimePoint now) {
+  if (now < m_write_again_at)
+    return std::nullopt;
+  m_write_again_at = kNever;
+  return m_writing;
+}
+
+std::optional<SharePage> QuotaDesk::PlanPage(TimePoint now, const Roster& roster, bool draining) {
+  // why: a VM that the list doesn't show could be taken for gone while it holds a share
+  const bool listed = roster.Find(m_self.vm) != nullptr;
+  if (!listed)
+    return std::nullopt;
+  if (m_writing)
+    return WriteAgain(now);
+  for (std::uint32_t number = 0; number < kSharePageCount; ++number) {
+    if (!PageHasTeams(number))
+      continue;
+    SharePage page{.page = number};
+    if (const auto known = m_pages.find(number); known != m_pages.end())
+      page = known->second;
+    std::optional<SharePage> next = PlanSharePage(now, m_self, page, roster, draining);
+    if (!next)
+      continue;
+    m_writing = next;
+    m_write_again_at = kNever;
+    ReconfigurePage(now, number, ShareBucket::Start::kEmptyAfterLoanLife);
+    return next;
+  }
+  return std::nullopt;
+}
+
+void QuotaDesk::PageWritten(TimePoint now, WriteOutcome outcome, Revision revision) {
+  if (!m_writing)
+    return;
+  const std::uint32_t page = m_writing->page;
+  // why: an unanswered write may have taken effect, and after a conflict the record is another than
+  // thought; the lower share stays in force until the feed shows the record as it is now
+  if (outcome == WriteOutcome::kConflict)
+    return;
+  if (outcome == WriteOutcome::kUnknown) {
+    m_write_again_at = now + kUnknownWriteDelay;
+    return;
+  }
+  const bool first_ever = m_writing->revision == 0;
+  SharePage written = *m_writing;
+  written.revision = revision;
+  m_writing.reset();
+  const auto known = m_pages.find(page);
+  if (known == m_pages.end() || known->second.revision < revision)
+    m_pages[page] = written;
+  // why: nobody can have lent from a page that did not exist
+  ReconfigurePage(now, page,
+                  first_ever ? ShareBucket::Start::kFull : ShareBucket::Start::kEmptyAfterLoanLife);
+}
+
+bool QuotaDesk::HoldsShares() const {
+  return std::ranges::any_of(m_pages,
+                             [&](const auto& page) { return UnitsOf(page.second, m_self) > 0; });
+}
+
+double QuotaDesk::ShareOf(const std::string& team) const {
+  const auto found = m_teams.find(team);
+  if (found == m_teams.end())
+    return 0;
+  const double units = EffectiveUnits(found->second.page);
+  return found->second.spec.rate_tokens_per_second * units / kShareUnits;
+}
+
+Tokens QuotaDesk::LevelOf(TimePoint now, const std::string& team) {
+  const auto found = m_teams.find(team);
+  return found == m_teams.end() || !found->second.bucket ? 0 : found->second.bucket->Level(now);
+}
+
+Tokens QuotaDesk::OutstandingOf(const std::string& team) const {
+  const auto found = m_teams.find(team);
+  return found == m_teams.end() || !found->second.bucket ? 0 : found->second.bucket->Outstanding();
+}
+
+Tokens QuotaDesk::AvailableOf(TimePoint now, const std::string& team) {
+  const auto found = m_teams.find(team);
+  return found == m_teams.end() ? 0 : found->second.purse.Available(now);
+}
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/roster/roster_entry.h
@@ -0,0 +1,49 @@
+// One line of the platform's list of VMs, and the identity of one run of a process.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/enum_table.h"
+
+namespace boragepick {
+
+// Differs for each start of a process and grows from start to start on one VM.
+using Incarnation = std::uint64_t;
+
+enum class NodeRole { kRouter, kAgent };
+
+inline constexpr EnumTable kNodeRoleNames{std::array{
+    EnumName<NodeRole>{NodeRole::kRouter, "router"},
+    EnumName<NodeRole>{NodeRole::kAgent, "agent"},
+}};
+
+enum class VmState { kLive, kLeaving };
+
+inline constexpr EnumTable kVmStateNames{std::array{
+    EnumName<VmState>{VmState::kLive, "live"},
+    EnumName<VmState>{VmState::kLeaving, "leaving"},
+}};
+
+struct RosterEntry {
+  std::string vm;
+  std::string data_centre;
+  NodeRole role = NodeRole::kRouter;
+  VmState state = VmState::kLive;
+  // Where the VM's process of the system listens for peers: "ip:port".
+  std::string peer_endpoint;
+  // Agents only: the service pool, or "models" for an engine.
+  std::string pool;
+  // Agents only: what the VM's engine may take up.
+  std::uint32_t memory_mb = 0;
+  bool operator==(const RosterEntry&) const = default;
+};
+
+// The platform's list; `version` grows with each change.
+struct RosterList {
+  std::uint64_t version = 0;
+  std::vector<RosterEntry> entries;
+};
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/router/router.cc
@@ -0,0 +1,317 @@
+#include "core/router/router.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+#include "common/hashing.h"
+
+namespace boragepick {
+
+namespace {
+
+constexpr Duration kBusyTick = std::chrono::milliseconds(10);
+constexpr Duration kIdleTick = std::chrono::milliseconds(100);
+// Period of the duties that no caller waits for.
+constexpr Duration kSlowTick = std::chrono::milliseconds(100);
+// Pages looked at for adoption in each slow tick: few calls a second, over all routers.
+constexpr std::uint32_t kAdoptionsPerTick = 1;
+constexpr Duration kGiveBackPatience = std::chrono::seconds(5);
+// Calls about pages of once-claims are numbered by the tag and the page.
+constexpr std::uint64_t kOnceCallTag = 0x4f6e6365;
+
+}  // namespace
+
+Router::Router(const RouterOptions& options)
+    : m_state(options),
+      m_flights(m_state, m_agents),
+      m_operators(m_state, m_agents, m_flights),
+      m_planner(m_state, m_agents) {}
+
+std::vector<RouterEffect> Router::Handle(TimePoint now, RouterEvent event) {
+  std::visit([&](auto&& held) { On(now, std::forward<decltype(held)>(held)); }, std::move(event));
+  CollectFeed(now);
+  CollectOnce(now);
+  return std::exchange(m_state.effects, {});
+}
+
+TimePoint Router::NextTick(TimePoint now) const {
+  const bool busy = m_flights.Waiting() || m_operators.Busy();
+  return now + (busy ? kBusyTick : kIdleTick);
+}
+
+void Router::On(TimePoint now, CallerArrived event) {
+  m_flights.Arrive(now, std::move(event.request));
+}
+
+void Router::On(TimePoint now, const CallerGone& event) {
+  m_flights.CallerLeft(now, event.id);
+}
+
+void Router::On(TimePoint now, const OperatorAsked& event) {
+  m_operators.Ask(now, event.request);
+}
+
+void Router::On(TimePoint now, const RecordWritten& event) {
+  if (event.call == m_share_call) {
+    m_share_call = 0;
+    m_state.quota.PageWritten(now, event.outcome, event.revision);
+    if (event.outcome == WriteOutcome::kConflict)
+      m_state.Log(LogEvent::kShareConflict, {});
+    m_flights.Pump(now);
+    return;
+  }
+  const auto page = static_cast<std::uint32_t>(event.call & 0xffffffffU);
+  if ((event.call >> 32U) == kOnceCallTag) {
+    m_state.once.PageWritten(now, page, event.outcome, event.revision, m_state.roster);
+    if (event.outcome == WriteOutcome::kConflict)
+      m_state.Log(LogEvent::kOnceConflict, {{"page", std::to_string(page)}});
+    return;
+  }
+  if (m_planner.Written(now, event))
+    return;
+  m_operators.Written(now, event);
+}
+
+void Router::On(TimePoint now, OncePageRead event) {
+  if (event.answered)
+    m_state.once.PageRead(now, event.page, std::move(event.record), m_state.roster);
+  else
+    m_state.once.PageReadFailed(now, event.page);
+}
+
+void Router::On(TimePoint now, const ResourceRead& event) {
+  m_operators.Read(now, event);
+}
+
+void Router::On(TimePoint now, const FeedReceived& event) {
+  m_state.feed.PlatformUpdate(now, event.update);
+}
+
+void Router::On(TimePoint now, const FeedProbed& event) {
+  m_state.feed.PlatformProbed(now, event.newest, event.items);
+}
+
+void Router::On(TimePoint now, const WatchLost& /*event*/) {
+  m_state.feed.PlatformLost(now);
+}
+
+void Router::On(TimePoint now, const VmListReceived& event) {
+  m_state.feed.HandleRosterList(now, event.list, m_state.roster);
+}
+
+// --- Peers
+// ----------------------------------------------------------------------------------------
+
+void Router::On(TimePoint now, PeerReceived event) {
+  m_state.roster.Heard(event.from.vm, event.from.incarnation);
+  std::visit(
+      [&](auto&& message) { OnPeer(now, event.from, std::forward<decltype(message)>(message)); },
+      std::move(event.message));
+}
+
+template <typename Message>
+void Router::OnPeer(TimePoint now, const PeerSender& from, Message message) {
+  [[maybe_unused]] const ProcessId process{
+      .vm = from.vm, .incarnation = from.incarnation, .listed_version = m_state.roster.version()};
+  if constexpr (std::is_same_v<Message, RunProgress> || std::is_same_v<Message, RunHead> ||
+                std::is_same_v<Message, RunChunk>) {
+    m_flights.Take(now, from, std::move(message));
+  } else if constexpr (std::is_same_v<Message, RunEnded>) {
+    m_planner.TakeReport(from.vm, message.report);
+    m_flights.Take(now, from, message);
+  } else if constexpr (std::is_same_v<Message, AgentReport>) {
+    m_agents.TakeReport(now, from.vm, message);
+    m_planner.TakeReport(from.vm, message);
+  } else if constexpr (std::is_same_v<Message, FeedSubscribe>) {
+    m_state.feed.HandleSubscribe(now, from, message, m_state.roster);
+  } else if constexpr (std::is_same_v<Message, FeedFresh>) {
+    m_state.feed.HandleFresh(now, from, message);
+  } else if constexpr (std::is_same_v<Message, FeedUpdate>) {
+    m_state.feed.HandleUpdate(now, from, message);
+  } else if constexpr (std::is_same_v<Message, RosterList>) {
+    m_state.feed.HandleRosterList(now, message, m_state.roster);
+  } else if constexpr (std::is_same_v<Message, QuotaAsk>) {
+    const std::string borrower = from.vm + "#" + std::to_string(from.incarnation);
+    const QuotaLoan loan = m_state.quota.HandleAsk(now, borrower, message);
+    if (message.wanted > 0)
+      m_state.Emit(SendToEndpoint{.endpoint = from.endpoint, .message = loan});
+  } else if constexpr (std::is_same_v<Message, QuotaLoan>) {
+    m_state.quota.HandleLoan(now, from.vm, message);
+    m_flights.Pump(now);
+  } else if constexpr (std::is_same_v<Message, OnceClaim>) {
+    m_state.once.HandleClaim(now, process, message, m_state.roster);
+  } else if constexpr (std::is_same_v<Message, OnceOutcome>) {
+    m_state.once.HandleOutcome(now, process, message);
+  } else if constexpr (std::is_same_v<Message, OnceVerdict> ||
+                       std::is_same_v<Message, OnceOutcomeStored> ||
+                       std::is_same_v<Message, CrashNotice> || std::is_same_v<Message, SlotGrant>) {
+    m_flights.Take(now, message);
+  } else if constexpr (std::is_same_v<Message, SlotAsk>) {
+    SendGrants(m_slots.HandleAsk(now, from, message));
+  }
+}
+
+void Router::SendGrants(const std::vector<SlotDesk::Grant>& grants) {
+  for (const SlotDesk::Grant& grant : grants)
+    m_state.SendToVm(grant.vm, grant.grant);
+}
+
+// --- Effects of the parts
+// -------------------------------------------------------------------------
+
+void Router::CollectFeed(TimePoint now) {
+  for (FeedEffect& effect : m_state.feed.TakeEffects()) {
+    std::visit(
+        [&](auto&& held) {
+          using Held = std::remove_cvref_t<decltype(held)>;
+          if constexpr (std::is_same_v<Held, FeedChanged>)
+            ApplyConfig(now, held);
+          else if constexpr (std::is_same_v<Held, RosterReplaced>)
+            ApplyRoster(now, held.list);
+          else if constexpr (std::is_same_v<Held, RelayReplaced>)
+            m_state.Log(LogEvent::kRelayChanged, {{"relay", held.relay}});
+          else
+            m_state.Emit(std::forward<decltype(held)>(held));
+        },
+        std::move(effect));
+  }
+}
+
+void Router::ApplyConfig(TimePoint now, const FeedChanged& changed) {
+  using Origin = QuotaDesk::TeamOrigin;
+  const Origin origin = changed.from_snapshot ? Origin::kFound : Origin::kCreated;
+  for (const FeedItem& item : changed.items) {
+    if (const auto* page = std::get_if<SharePage>(&item.value)) {
+      m_state.quota.SetPage(now, *page);
+      continue;
+    }
+    if (const auto* resource = std::get_if<Resource>(&item.value)) {
+      if (const auto* team = std::get_if<TeamSpec>(&resource->spec))
+        m_state.quota.SetTeam(now, resource->name, *team, origin);
+    }
+    m_state.view.Apply(item);
+  }
+  m_state.Log(LogEvent::kConfigApplied, {{"revision", std::to_string(m_state.feed.revision())},
+                                         {"items", std::to_string(changed.items.size())}});
+  m_flights.CheckKeys(now);
+  m_flights.Pump(now);
+}
+
+void Router::ApplyRoster(TimePoint now, const RosterList& list) {
+  if (!m_state.roster.Apply(now, list))
+    return;
+  m_state.quota.SetSelfListedVersion(list.version);
+  m_state.once.SetSelfListedVersion(list.version);
+  m_state.Log(LogEvent::kRosterChanged, {{"version", std::to_string(list.version)},
+                                         {"vms", std::to_string(list.entries.size())}});
+}
+
+void Router::CollectOnce(TimePoint now) {
+  // why: answers to this router's own claims can cause further claims
+  for (auto effects = m_state.once.TakeEffects(); !effects.empty();
+       effects = m_state.once.TakeEffects()) {
+    for (OnceEffect& effect : effects) {
+      if (const auto* read = std::get_if<OnceReadPage>(&effect)) {
+        m_state.Emit(ReadOncePage{.page = read->page});
+      } else if (auto* write = std::get_if<OnceWritePage>(&effect)) {
+        const std::uint64_t call = (kOnceCallTag << 32U) | write->page.page;
+        m_state.Emit(WriteRecord{
+            .call = call, .base = write->page.revision, .record = std::move(write->page)});
+      } else if (auto* send = std::get_if<OnceSend>(&effect)) {
+        if (send->vm == m_state.options.vm) {
+          std::visit([&](const auto& message) { m_flights.Take(now, message); }, send->message);
+        } else {
+          std::visit([&](auto& message) { m_state.SendToVm(send->vm, std::move(message)); },
+                     send->message);
+        }
+      }
+    }
+  }
+}
+
+// --- Duties
+// ---------------------------------------------------------------------------------------
+
+void Router::On(TimePoint now, const Ticked& /*event*/) {
+  PollQuota(now);
+  m_flights.Tick(now);
+  m_operators.Tick(now);
+  if (now >= m_next_slow_tick) {
+    m_next_slow_tick = now + kSlowTick;
+    m_state.feed.Tick(now, m_state.roster);
+    m_state.once.Tick(now);
+    m_planner.Tick(now);
+    PlanShares(now);
+    AdoptOncePages(now);
+    SendGrants(m_slots.Tick(now));
+  }
+  CheckDrain(now);
+}
+
+void Router::PollQuota(TimePoint now) {
+  if (now < m_next_quota_poll)
+    return;
+  m_next_quota_poll = now + QuotaDesk::kPollInterval;
+  for (OutgoingAsk& outgoing : m_state.quota.Poll(now))
+    m_state.SendToVm(outgoing.vm, std::move(outgoing.ask));
+}
+
+void Router::PlanShares(TimePoint now) {
+  if (!m_state.feed.HasView())
+    return;
+  std::optional<SharePage> page = m_state.quota.PlanPage(now, m_state.roster, m_state.draining);
+  if (!page)
+    return;
+  m_share_call = m_state.NextCall();
+  m_state.Log(LogEvent::kSharePlanned, {{"page", std::to_string(page->page)},
+                                        {"units", std::to_string(UnitsOf(*page, m_state.self()))},
+                                        {"base", std::to_string(page->revision)}});
+  m_state.Emit(WriteRecord{.call = m_share_call, .base = page->revision, .record = *page});
+}
+
+void Router::AdoptOncePages(TimePoint now) {
+  const bool listed = m_state.roster.Find(m_state.options.vm) != nullptr;
+  if (!listed || m_state.draining)
+    return;
+  for (std::uint32_t i = 0; i < kAdoptionsPerTick; ++i) {
+    const std::uint32_t page = m_next_adoption++ % kOncePageCount;
+    const std::vector<std::string> order =
+        RendezvousOrder("once-page/" + std::to_string(page), m_state.roster.LiveRouters());
+    if (!order.empty() && order.front() == m_state.options.vm)
+      m_state.once.Adopt(now, page);
+  }
+}
+
+// --- Drain
+// ----------------------------------------------------------------------------------------
+
+void Router::On(TimePoint now, const DrainAsked& /*event*/) {
+  if (m_state.draining)
+    return;
+  m_state.draining = true;
+  m_drain_started = now;
+  m_state.Log(LogEvent::kDraining, {{"open", std::to_string(m_flights.OpenRequests())}});
+}
+
+void Router::CheckDrain(TimePoint now) {
+  if (!m_state.draining || m_drain_done)
+    return;
+  const bool open = m_flights.OpenRequests() > 0 || m_operators.Busy();
+  if (now - m_drain_started < m_state.options.drain_grace || open)
+    return;
+  if (m_give_back_started == kNever) {
+    m_give_back_started = now;
+    m_state.once.Release();
+    m_state.once.Tick(now);
+  }
+  // why: what can't be given back while the service is down is taken over later from the list of
+  // VMs
+  const bool given_back = !m_state.once.Busy() && !m_state.quota.HoldsShares();
+  if (!given_back && now - m_give_back_started < kGiveBackPatience)
+    return;
+  m_drain_done = true;
+  m_state.Emit(DrainDone{});
+}
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/router/router.h
@@ -0,0 +1,81 @@
+// The router as a machine without input or output: events go in with the present time, effects come
+// out. It composes the parts and holds no decision of its own beyond handing events to them.
+#pragma once
+
+#include <vector>
+
+#include "common/time.h"
+#include "core/router/agent_table.h"
+#include "core/router/flight_desk.h"
+#include "core/router/operator_desk.h"
+#include "core/router/planner_duty.h"
+#include "core/router/router_messages.h"
+#include "core/router/router_state.h"
+#include "core/routing/slot_desk.h"
+
+namespace boragepick {
+
+class Router {
+ public:
+  using Event = RouterEvent;
+  using Effect = RouterEffect;
+
+  explicit Router(const RouterOptions& options);
+  Router(const Router&) = delete;
+  Router& operator=(const Router&) = delete;
+
+  std::vector<RouterEffect> Handle(TimePoint now, RouterEvent event);
+
+  // When the next Ticked event is wanted.
+  TimePoint NextTick(TimePoint now) const;
+  bool Ready() const { return m_state.feed.HasView() && !m_state.draining; }
+
+  const RouterState& state() const { return m_state; }
+  const FlightDesk& flights() const { return m_flights; }
+
+ private:
+  void On(TimePoint now, CallerArrived event);
+  void On(TimePoint now, const CallerGone& event);
+  void On(TimePoint now, PeerReceived event);
+  void On(TimePoint now, const OperatorAsked& event);
+  void On(TimePoint now, const RecordWritten& event);
+  void On(TimePoint now, OncePageRead event);
+  void On(TimePoint now, const ResourceRead& event);
+  void On(TimePoint now, const FeedReceived& event);
+  void On(TimePoint now, const FeedProbed& event);
+  void On(TimePoint now, const WatchLost& event);
+  void On(TimePoint now, const VmListReceived& event);
+  void On(TimePoint now, const DrainAsked& event);
+  void On(TimePoint now, const Ticked& event);
+
+  template <typename Message>
+  void OnPeer(TimePoint now, const PeerSender& from, Message message);
+
+  // Carries on what the parts left as effects of their own.
+  void CollectFeed(TimePoint now);
+  void CollectOnce(TimePoint now);
+  void ApplyConfig(TimePoint now, const FeedChanged& changed);
+  void ApplyRoster(TimePoint now, const RosterList& list);
+  void PollQuota(TimePoint now);
+  void PlanShares(TimePoint now);
+  void AdoptOncePages(TimePoint now);
+  void SendGrants(const std::vector<SlotDesk::Grant>& grants);
+  void CheckDrain(TimePoint now);
+
+  RouterState m_state;
+  AgentTable m_agents;
+  FlightDesk m_flights;
+  OperatorDesk m_operators;
+  PlannerDuty m_planner;
+  SlotDesk m_slots;
+
+  std::uint64_t m_share_call = 0;
+  TimePoint m_next_quota_poll = TimePoint{};
+  TimePoint m_next_slow_tick = TimePoint{};
+  std::uint32_t m_next_adoption = 0;
+  TimePoint m_drain_started = kNever;
+  TimePoint m_give_back_started = kNever;
+  bool m_drain_done = false;
+};
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/routing/fair_queue.h
@@ -0,0 +1,99 @@
+// Queues of requests that wait for an upstream. FairQueue shares by token cost between teams
+// (start-time fair queueing) and between interactive and batch work; FifoQueue is the naive one it
+// is measured against.
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "common/enum_table.h"
+#include "common/time.h"
+
+namespace boragepick {
+
+enum class Priority { kInteractive, kBatch };
+
+inline constexpr EnumTable kPriorityNames{std::array{
+    EnumName<Priority>{Priority::kInteractive, "interactive"},
+    EnumName<Priority>{Priority::kBatch, "batch"},
+}};
+
+inline constexpr std::size_t kPriorityCount = kPriorityNames.rows.size();
+
+using TicketId = std::uint64_t;
+
+struct QueueTicket {
+  TicketId id = 0;
+  std::string team;
+  Priority priority = Priority::kInteractive;
+  // Estimated tokens.
+  std::int64_t cost = 1;
+  TimePoint deadline = kNever;
+};
+
+template <typename Q>
+concept RequestQueue = requires(Q queue, QueueTicket ticket, TicketId id, TimePoint now) {
+  {queue.Push(ticket)};
+  { queue.Pop() } -> std::same_as<std::optional<TicketId>>;
+  {queue.Remove(id)};
+  { queue.TakeExpired(now) } -> std::same_as<std::vector<TicketId>>;
+  { queue.Size() } -> std::convertible_to<std::size_t>;
+};
+
+class FairQueue {
+ public:
+  // At least one of so many requests taken is a batch one when both wait.
+  static constexpr std::uint32_t kBatchTurn = 8;
+
+  void Push(const QueueTicket& ticket);
+  std::optional<TicketId> Pop();
+  void Remove(TicketId id);
+  // Takes out what can't be served by its deadline any more.
+  std::vector<TicketId> TakeExpired(TimePoint now);
+  std::size_t Size() const { return m_waiting.size(); }
+
+ private:
+  struct Lane {
+    // Virtual time at which the team's next request may start.
+    double next_start = 0;
+    std::deque<QueueTicket> tickets;
+  };
+  struct PriorityClass {
+    double virtual_time = 0;
+    std::map<std::string, Lane> lanes;
+    std::set<std::pair<double, std::string>> order;
+  };
+
+  std::optional<QueueTicket> PopFrom(PriorityClass& chosen);
+
+  std::array<PriorityClass, kPriorityCount> m_classes;
+  // Removed tickets stay in their lanes until they come up.
+  std::unordered_map<TicketId, TimePoint> m_waiting;
+  std::set<std::pair<TimePoint, TicketId>> m_deadlines;
+  std::uint32_t m_interactive_run = 0;
+};
+
+class FifoQueue {
+ public:
+  void Push(const QueueTicket& ticket) { m_tickets.push_back(ticket); }
+  std::optional<TicketId> Pop();
+  void Remove(TicketId id);
+  std::vector<TicketId> TakeExpired(TimePoint now);
+  std::size_t Size() const { return m_tickets.size(); }
+
+ private:
+  std::deque<QueueTicket> m_tickets;
+};
+
+static_assert(RequestQueue<FairQueue>);
+static_assert(RequestQueue<FifoQueue>);
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/routing/poison_book.h
@@ -0,0 +1,60 @@
+// Requests that crash their upstreams, by fingerprint. A request that was running when an upstream
+// crashed is a suspect and runs again only alone; one that crashed a second upstream is convicted
+// and refused. Innocents of the same batch clear themselves by running whole.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/enum_table.h"
+#include "common/time.h"
+
+namespace boragepick {
+
+// Hash of team, path and body.
+using Fingerprint = std::uint64_t;
+
+enum class PoisonVerdict { kClean, kSuspect, kConvicted };
+
+inline constexpr EnumTable kPoisonVerdictNames{std::array{
+    EnumName<PoisonVerdict>{PoisonVerdict::kClean, "clean"},
+    EnumName<PoisonVerdict>{PoisonVerdict::kSuspect, "suspect"},
+    EnumName<PoisonVerdict>{PoisonVerdict::kConvicted, "convicted"},
+}};
+
+// Told to the other routers whenever an entry changes; doubled notices change nothing.
+struct CrashNotice {
+  Fingerprint fingerprint = 0;
+  // Names one crash: agent and the number of its engine's run.
+  std::string crash;
+  // It has run whole since; `crash` is empty then.
+  bool cleared = false;
+};
+
+class PoisonBook {
+ public:
+  static constexpr std::size_t kCrashesToConvict = 2;
+  static constexpr Duration kSuspicionLife = std::chrono::minutes(10);
+
+  PoisonVerdict Judge(TimePoint now, Fingerprint fingerprint);
+
+  // Returns whether the notice told something new.
+  bool Take(TimePoint now, const CrashNotice& notice);
+
+  std::size_t Size() const { return m_entries.size(); }
+
+ private:
+  struct Entry {
+    std::set<std::string> crashes;
+    TimePoint last_crash;
+  };
+
+  void Forget(TimePoint now);
+
+  std::map<Fingerprint, Entry> m_entries;
+};
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/core/routing/slot_desk.h
@@ -0,0 +1,62 @@
+// Places that are few in the whole fleet: loads that the weight store bears at once, adapters in
+// flight, and the one trial of a suspect request. The router that rendezvous hashing names for a
+// pool keeps its list. Places are for speed, not for safety: a holder that falls silent loses its
+// place, and an agent that gets no answer goes on without one.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "core/peer_messages.h"
+
+namespace boragepick {
+
+inline constexpr const char* kWeightSlots = "weights";
+inline constexpr const char* kAdapterSlots = "adapters";
+inline constexpr const char* kTrialSlotsPrefix = "trial/";
+
+// How many places `pool` has.
+std::size_t SlotsOf(const std::string& pool);
+
+class SlotDesk {
+ public:
+  // Asks are repeated every kAskPeriod; one not repeated for so long is forgotten, with its place.
+  static constexpr Duration kAskPeriod = std::chrono::seconds(1);
+  static constexpr Duration kAskLife = std::chrono::seconds(5);
+
+  struct Grant {
+    std::string vm;
+    SlotGrant grant;
+  };
+
+  // The grants to be sent. An ask that holds its place already is granted again.
+  std::vector<Grant> HandleAsk(TimePoint now, const PeerSender& from, const SlotAsk& ask);
+  std::vector<Grant> Tick(TimePoint now);
+
+  std::size_t Holding(const std::string& pool) const;
+
+ private:
+  struct Holder {
+    std::string vm;
+    Incarnation incarnation = 0;
+    std::uint64_t number = 0;
+    auto operator<=>(const Holder&) const = default;
+  };
+  struct Ask {
+    Priority priority = Priority::kInteractive;
+    std::uint64_t order = 0;
+    TimePoint repeated;
+    bool granted = false;
+  };
+  using Pool = std::map<Holder, Ask>;
+
+  void Fill(const std::string& name, Pool& pool, std::vector<Grant>& grants);
+
+  std::map<std::string, Pool> m_pools;
+  std::uint64_t m_last_order = 0;
+};
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/wire/peer_codec.cc
@@ -0,0 +1,428 @@
+#include "wire/peer_codec.h"
+
+#include "common/error.h"
+#include "wire/record_codec.h"
+
+namespace boragepick {
+
+namespace {
+
+[[noreturn]] void Reject(const std::string& what) {
+  throw Error(Step::kDecodePeerFrame, "", what);
+}
+
+// A number of the wire as a value of an enumeration with a table of names.
+template <typename Enum, std::size_t kRows>
+Enum CheckedEnum(std::uint32_t number, const EnumTable<Enum, kRows>& table) {
+  const auto value = static_cast<Enum>(number);
+  if (number >= kRows)
+    Reject("a number out of range: expected one of " + table.Choices());
+  return value;
+}
+
+template <typename Enum>
+std::uint32_t Number(Enum value) {
+  return static_cast<std::uint32_t>(value);
+}
+
+void ToWire(const AttemptId& id, wire::AttemptId& out) {
+  out.set_request(id.request);
+  out.set_attempt(id.attempt);
+}
+
+AttemptId IdFromWire(const wire::AttemptId& in) {
+  return {.request = in.request(), .attempt = in.attempt()};
+}
+
+// --- One pair for each message
+// --------------------------------------------------------------------
+
+void Put(const RunRequest& message, wire::Envelope& envelope) {
+  wire::RunRequest& out = *envelope.mutable_run_request();
+  ToWire(message.id, *out.mutable_id());
+  out.set_method(Number(message.method));
+  out.set_path(message.path);
+  out.set_content_type(message.content_type);
+  out.set_body(message.body);
+  out.set_model(message.model);
+  out.set_adapter(message.adapter);
+  out.set_stream(message.stream);
+  out.set_cache_salt(message.cache_salt);
+  out.set_team(message.team);
+  out.set_priority(Number(message.priority));
+  out.set_cost(message.cost);
+  out.set_patience_us(message.patience.count());
+  out.set_resume_after(message.resume_after);
+  out.set_suspect(message.suspect);
+}
+
+RunRequest Get(wire::RunRequest& in) {
+  return {.id = IdFromWire(in.id()),
+          .method = CheckedEnum(in.method(), kMethodNames),
+          .path = std::move(*in.mutable_path()),
+          .content_type = in.content_type(),
+          .body = std::move(*in.mutable_body()),
+          .model = in.model(),
+          .adapter = in.adapter(),
+          .stream = in.stream(),
+          .cache_salt = in.cache_salt(),
+          .team = in.team(),
+          .priority = CheckedEnum(in.priority(), kPriorityNames),
+          .cost = in.cost(),
+          .patience = Duration(in.patience_us()),
+          .resume_after = in.resume_after(),
+          .suspect = in.suspect()};
+}
+
+void Put(const CancelRun& message, wire::Envelope& envelope) {
+  ToWire(message.id, *envelope.mutable_cancel_run()->mutable_id());
+}
+
+CancelRun Get(wire::CancelRun& in) {
+  return {.id = IdFromWire(in.id())};
+}
+
+void Put(const RunProgress& message, wire::Envelope& envelope) {
+  ToWire(message.id, *envelope.mutable_run_progress()->mutable_id());
+}
+
+RunProgress Get(wire::RunProgress& in) {
+  return {.id = IdFromWire(in.id())};
+}
+
+void Put(const RunHead& message, wire::Envelope& envelope) {
+  wire::RunHead& out = *envelope.mutable_run_head();
+  ToWire(message.id, *out.mutable_id());
+  out.set_status(message.head.status);
+  out.set_content_type(message.head.content_type);
+}
+
+RunHead Get(wire::RunHead& in) {
+  return {.id = IdFromWire(in.id()),
+          .head = {.status = in.status(), .content_type = in.content_type()}};
+}
+
+void Put(const RunChunk& message, wire::Envelope& envelope) {
+  wire::RunChunk& out = *envelope.mutable_run_chunk();
+  ToWire(message.id, *out.mutable_id());
+  out.set_sequence(message.sequence);
+  out.set_bytes(message.bytes);
+}
+
+RunChunk Get(wire::RunChunk& in) {
+  return {.id = IdFromWire(in.id()),
+          .sequence = in.sequence(),
+          .bytes = std::move(*in.mutable_bytes())};
+}
+
+void ToWire(const AgentReport& report, wire::AgentReport& out) {
+  out.set_running(report.running);
+  out.set_waiting(report.waiting);
+  out.set_slots(report.slots);
+  out.set_leaving(report.leaving);
+  out.set_feed_revision(report.feed_revision);
+  for (const ResidentUnit& unit : report.units) {
+    wire::ResidentUnit& added = *out.add_units();
+    added.set_name(unit.name);
+    added.set_residency(Number(unit.residency));
+  }
+}
+
+AgentReport Get(const wire::AgentReport& in) {
+  AgentReport report{.running = in.running(),
+                     .waiting = in.waiting(),
+                     .slots = in.slots(),
+                     .leaving = in.leaving(),
+                     .feed_revision = in.feed_revision()};
+  for (const wire::ResidentUnit& unit : in.units()) {
+    report.units.push_back(
+        {.name = unit.name(), .residency = CheckedEnum(unit.residency(), kResidencyNames)});
+  }
+  return report;
+}
+
+void Put(const AgentReport& message, wire::Envelope& envelope) {
+  ToWire(message, *envelope.mutable_agent_report());
+}
+
+void Put(const RunEnded& message, wire::Envelope& envelope) {
+  wire::RunEnded& out = *envelope.mutable_run_ended();
+  ToWire(message.id, *out.mutable_id());
+  out.set_end(Number(message.end));
+  out.set_chunks(message.chunks);
+  out.set_detail(message.detail);
+  out.set_crash(message.crash);
+  ToWire(message.report, *out.mutable_report());
+}
+
+RunEnded Get(wire::RunEnded& in) {
+  return {.id = IdFromWire(in.id()),
+          .end = CheckedEnum(in.end(), kRunEndNames),
+          .chunks = in.chunks(),
+          .detail = in.detail(),
+          .crash = in.crash(),
+          .report = Get(in.report())};
+}
+
+void Put(const FeedSubscribe& message, wire::Envelope& envelope) {
+  wire::FeedSubscribe& out = *envelope.mutable_feed_subscribe();
+  out.set_revision(message.revision);
+  out.set_roster_version(message.roster_version);
+  out.set_data_centre(message.data_centre);
+  out.set_nodes(message.nodes);
+  out.set_lowest_in_force(message.lowest_in_force);
+}
+
+FeedSubscribe Get(wire::FeedSubscribe& in) {
+  return {.revision = in.revision(),
+          .roster_version = in.roster_version(),
+          .data_centre = in.data_centre(),
+          .nodes = in.nodes(),
+          .lowest_in_force = in.lowest_in_force()};
+}
+
+void Put(const FeedFresh& message, wire::Envelope& envelope) {
+  wire::FeedFresh& out = *envelope.mutable_feed_fresh();
+  out.set_revision(message.revision);
+  out.set_roster_version(message.roster_version);
+  out.set_age_us(message.age.count());
+  out.set_nodes(message.nodes);
+  out.set_lowest_in_force(message.lowest_in_force);
+}
+
+FeedFresh Get(wire::FeedFresh& in) {
+  return {.revision = in.revision(),
+          .roster_version = in.roster_version(),
+          .age = Duration(in.age_us()),
+          .nodes = in.nodes(),
+          .lowest_in_force = in.lowest_in_force()};
+}
+
+void Put(const FeedUpdate& message, wire::Envelope& envelope) {
+  wire::FeedUpdate& out = *envelope.mutable_feed_update();
+  out.set_snapshot(message.snapshot);
+  out.set_base(message.base);
+  out.set_revision(message.revision);
+  for (const FeedItem& item : message.items)
+    ToWire(item, *out.add_items());
+}
+
+FeedUpdate Get(wire::FeedUpdate& in) {
+  FeedUpdate update{.snapshot = in.snapshot(), .base = in.base(), .revision = in.revision()};
+  for (const wire::FeedItem& item : in.items())
+    update.items.push_back(FromWire(item));
+  return update;
+}
+
+void Put(const RosterList& message, wire::Envelope& envelope) {
+  ToWire(message, *envelope.mutable_roster_list());
+}
+
+RosterList Get(wire::RosterList& in) {
+  return FromWire(in);
+}
+
+void Put(const QuotaAsk& message, wire::Envelope& envelope) {
+  wire::QuotaAsk& out = *envelope.mutable_quota_ask();
+  out.set_team(message.team);
+  out.set_number(message.number);
+  out.set_wanted(message.wanted);
+  for (const ClosedLoan& loan : message.closed) {
+    wire::ClosedLoan& added = *out.add_closed();
+    added.set_number(loan.number);
+    added.set_unspent(loan.unspent);
+  }
+  out.set_refund(message.refund);
+  out.set_refund_number(message.refund_number);
+}
+
+QuotaAsk Get(wire::QuotaAsk& in) {
+  QuotaAsk ask{.team = in.team(),
+               .number = in.number(),
+               .wanted = in.wanted(),
+               .refund = in.refund(),
+               .refund_number = in.refund_number()};
+  for (const wire::ClosedLoan& loan : in.closed())
+    ask.closed.push_back({.number = loan.number(), .unspent = loan.unspent()});
+  return ask;
+}
+
+void Put(const QuotaLoan& message, wire::Envelope& envelope) {
+  wire::QuotaLoan& out = *envelope.mutable_quota_loan();
+  out.set_team(message.team);
+  out.set_number(message.number);
+  out.set_tokens(message.tokens);
+}
+
+QuotaLoan Get(wire::QuotaLoan& in) {
+  return {.team = in.team(), .number = in.number(), .tokens = in.tokens()};
+}
+
+void Put(const OnceClaim& message, wire::Envelope& envelope) {
+  wire::OnceClaim& out = *envelope.mutable_once_claim();
+  out.set_claim_id(message.claim_id);
+  out.set_request_hash(message.request_hash);
+  out.set_token(message.token);
+}
+
+OnceClaim Get(wire::OnceClaim& in) {
+  return {.claim_id = in.claim_id(), .request_hash = in.request_hash(), .token = in.token()};
+}
+
+void Put(const OnceVerdict& message, wire::Envelope& envelope) {
+  wire::OnceVerdict& out = *envelope.mutable_once_verdict();
+  out.set_token(message.token);
+  out.set_kind(Number(message.kind));
+  ToWire(message.answer, *out.mutable_answer());
+  out.set_owner_vm(message.owner_vm);
+}
+
+OnceVerdict Get(wire::OnceVerdict& in) {
+  return {.token = in.token(),
+          .kind = CheckedEnum(in.kind(), kOnceVerdictNames),
+          .answer = FromWire(in.answer()),
+          .owner_vm = in.owner_vm()};
+}
+
+void Put(const OnceOutcome& message, wire::Envelope& envelope) {
+  wire::OnceOutcome& out = *envelope.mutable_once_outcome();
+  out.set_claim_id(message.claim_id);
+  out.set_token(message.token);
+  out.set_result(Number(message.result));
+  ToWire(message.answer, *out.mutable_answer());
+}
+
+OnceOutcome Get(wire::OnceOutcome& in) {
+  return {.claim_id = in.claim_id(),
+          .token = in.token(),
+          .result = CheckedEnum(in.result(), kOnceResultNames),
+          .answer = FromWire(in.answer())};
+}
+
+void Put(const OnceOutcomeStored& message, wire::Envelope& envelope) {
+  envelope.mutable_once_outcome_stored()->set_token(message.token);
+}
+
+OnceOutcomeStored Get(wire::OnceOutcomeStored& in) {
+  return {.token = in.token()};
+}
+
+void Put(const CrashNotice& message, wire::Envelope& envelope) {
+  wire::CrashNotice& out = *envelope.mutable_crash_notice();
+  out.set_fingerprint(message.fingerprint);
+  out.set_crash(message.crash);
+  out.set_cleared(message.cleared);
+}
+
+CrashNotice Get(wire::CrashNotice& in) {
+  return {.fingerprint = in.fingerprint(), .crash = in.crash(), .cleared = in.cleared()};
+}
+
+void Put(const SlotAsk& message, wire::Envelope& envelope) {
+  wire::SlotAsk& out = *envelope.mutable_slot_ask();
+  out.set_number(message.number);
+  out.set_pool(message.pool);
+  out.set_priority(Number(message.priority));
+  out.set_done(message.done);
+}
+
+SlotAsk Get(wire::SlotAsk& in) {
+  return {.number = in.number(),
+          .pool = in.pool(),
+          .priority = CheckedEnum(in.priority(), kPriorityNames),
+          .done = in.done()};
+}
+
+void Put(const SlotGrant& message, wire::Envelope& envelope) {
+  wire::SlotGrant& out = *envelope.mutable_slot_grant();
+  out.set_number(message.number);
+  out.set_pool(message.pool);
+  out.set_granted(message.granted);
+}
+
+SlotGrant Get(wire::SlotGrant& in) {
+  return {.number = in.number(), .pool = in.pool(), .granted = in.granted()};
+}
+
+PeerMessage GetBody(wire::Envelope& envelope) {
+  using Body = wire::Envelope::BodyCase;
+  switch (envelope.body_case()) {
+    case Body::kRunRequest:
+      return Get(*envelope.mutable_run_request());
+    case Body::kCancelRun:
+      return Get(*envelope.mutable_cancel_run());
+    case Body::kRunProgress:
+      return Get(*envelope.mutable_run_progress());
+    case Body::kRunHead:
+      return Get(*envelope.mutable_run_head());
+    case Body::kRunChunk:
+      return Get(*envelope.mutable_run_chunk());
+    case Body::kRunEnded:
+      return Get(*envelope.mutable_run_ended());
+    case Body::kAgentReport:
+      return Get(envelope.agent_report());
+    case Body::kFeedSubscribe:
+      return Get(*envelope.mutable_feed_subscribe());
+    case Body::kFeedFresh:
+      return Get(*envelope.mutable_feed_fresh());
+    case Body::kFeedUpdate:
+      return Get(*envelope.mutable_feed_update());
+    case Body::kRosterList:
+      return Get(*envelope.mutable_roster_list());
+    case Body::kQuotaAsk:
+      return Get(*envelope.mutable_quota_ask());
+    case Body::kQuotaLoan:
+      return Get(*envelope.mutable_quota_loan());
+    case Body::kOnceClaim:
+      return Get(*envelope.mutable_once_claim());
+    case Body::kOnceVerdict:
+      return Get(*envelope.mutable_once_verdict());
+    case Body::kOnceOutcome:
+      return Get(*envelope.mutable_once_outcome());
+    case Body::kOnceOutcomeStored:
+      return Get(*envelope.mutable_once_outcome_stored());
+    case Body::kCrashNotice:
+      return Get(*envelope.mutable_crash_notice());
+    case Body::kSlotAsk:
+      return Get(*envelope.mutable_slot_ask());
+    case Body::kSlotGrant:
+      return Get(*envelope.mutable_slot_grant());
+    case Body::BODY_NOT_SET:
+      break;
+  }
+  Reject("a frame without a known message");
+}
+
+}  // namespace
+
+std::string EncodePeerFrame(const PeerSender& from, const PeerMessage& message) {
+  wire::Envelope envelope;
+  envelope.set_version(kWireVersion);
+  envelope.set_vm(from.vm);
+  envelope.set_incarnation(from.incarnation);
+  envelope.set_endpoint(from.endpoint);
+  std::visit([&](const auto& held) { Put(held, envelope); }, message);
+  return envelope.SerializeAsString();
+}
+
+PeerFrame DecodePeerFrame(std::string_view frame, const std::string& peer) {
+  wire::Envelope envelope;
+  try {
+    if (!envelope.ParseFromArray(frame.data(), static_cast<int>(frame.size())))
+      Reject("a frame that is cut or foreign");
+    if (envelope.version() != kWireVersion) {
+      Reject("expected wire version " + std::to_string(kWireVersion) + ", found " +
+             std::to_string(envelope.version()));
+    }
+    if (envelope.vm().empty() || envelope.endpoint().empty())
+      Reject("a frame without its sender");
+    return {.from = {.vm = envelope.vm(),
+                     .incarnation = envelope.incarnation(),
+                     .endpoint = envelope.endpoint()},
+            .message = GetBody(envelope)};
+  } catch (const Error& error) {
+    throw Error(Step::kDecodePeerFrame, peer, error.reason());
+  }
+}
+
+}  // namespace boragepick
