--- a/source/core/router/operator_desk.h
+++ b/source/core/router/operator_desk.h
@@ -1,5 +1,6 @@
-// Answers operators: reads from the view in force, writes by compare-and-swap. A write whose answer
-// was lost is found out by the token of its writer and never applied twice.
+// Answers operators: reads from the view in force, writes by compare-and-swap.
+// A write whose answer was lost is found out by the token of its writer and
+// never applied twice.
 #pragma once
 
 #include <cstdint>
@@ -19,7 +20,9 @@
   // An operator is answered within so long.
   static constexpr Duration kPatience = std::chrono::seconds(5);
 
-  OperatorDesk(RouterState& state, const AgentTable& agents, const FlightDesk& flights)
+  OperatorDesk(RouterState& state,
+               const AgentTable& agents,
+               const FlightDesk& flights)
       : m_state(state), m_agents(agents), m_flights(flights) {}
 
   void Ask(TimePoint now, const OperatorRequest& request);
@@ -43,17 +46,29 @@
     TimePoint read_at = kNever;
   };
 
-  void Do(TimePoint now, const OperatorRequest& request, const GetResources& action);
-  void Do(TimePoint now, const OperatorRequest& request, const PutResource& action);
-  void Do(TimePoint now, const OperatorRequest& request, const DeleteResource& action);
-  void Do(TimePoint now, const OperatorRequest& request, const GetStatus& action);
-  void Do(TimePoint now, const OperatorRequest& request, const GetMetrics& action);
+  void Do(TimePoint now,
+          const OperatorRequest& request,
+          const GetResources& action);
+  void Do(TimePoint now,
+          const OperatorRequest& request,
+          const PutResource& action);
+  void Do(TimePoint now,
+          const OperatorRequest& request,
+          const DeleteResource& action);
+  void Do(TimePoint now,
+          const OperatorRequest& request,
+          const GetStatus& action);
+  void Do(TimePoint now,
+          const OperatorRequest& request,
+          const GetMetrics& action);
 
   void StartWrite(TimePoint now, OpenWrite write);
   void SendWrite(std::uint64_t call, const OpenWrite& write);
   void SendRead(std::uint64_t call, const OpenWrite& write);
   void Accept(std::uint64_t call, Revision revision);
-  void Fail(std::uint64_t call, OperatorErrorCode code, const std::string& message);
+  void Fail(std::uint64_t call,
+            OperatorErrorCode code,
+            const std::string& message);
   void Reply(std::uint64_t id, OperatorReply reply);
   std::vector<std::string> ConditionsOf(const Resource& resource) const;
   StatusReport MakeStatus(TimePoint now) const;
--- a/source/core/router/planner_duty.cc
+++ b/source/core/router/planner_duty.cc
@@ -40,13 +40,15 @@
   return claimed;
 }
 
-std::set<std::string> PlannerDuty::ReleasedBy(const PermitRecord& record) const {
+std::set<std::string> PlannerDuty::ReleasedBy(
+    const PermitRecord& record) const {
   std::set<std::string> released;
   for (const Permit& permit : record.permits) {
     const auto report = m_reports.find(permit.vm);
     if (permit.state != PermitState::kRevoked || report == m_reports.end())
       continue;
-    // why: a report made before the agent saw the revocation proves nothing, it may load yet
+    // why: a report made before the agent saw the revocation proves nothing, it
+    // may load yet
     const bool knows = report->second.feed_revision >= record.revision;
     if (knows && !report->second.units.contains(record.model))
       released.insert(permit.vm);
@@ -72,23 +74,27 @@
   for (const auto& [model, resource] : m_state.view.All(ResourceKind::kModel))
     PlanModel(now, model, claimed);
   for (const auto& [model, record] : m_state.view.permits()) {
-    const bool deleted = m_state.view.Find(ResourceKind::kModel, model) == nullptr;
+    const bool deleted =
+        m_state.view.Find(ResourceKind::kModel, model) == nullptr;
     if (deleted && !record.permits.empty())
       PlanModel(now, model, claimed);
   }
 }
 
-void PlannerDuty::PlanModel(TimePoint now,
-                            const std::string& model,
-                            const std::map<std::string, std::uint64_t>& claimed) {
+void PlannerDuty::PlanModel(
+    TimePoint now,
+    const std::string& model,
+    const std::map<std::string, std::uint64_t>& claimed) {
   const auto wait = m_wait_until.find(model);
   if (wait != m_wait_until.end() && now < wait->second)
     return;
   if (!IsMine(model))
     return;
   PlannerInput input{.model = model, .claimed_mb = claimed};
-  const auto* spec = m_state.view.FindSpec<ModelSpec>(ResourceKind::kModel, model);
-  if (const std::optional<ServedModel> served = m_state.view.Resolve(model); served && spec) {
+  const auto* spec =
+      m_state.view.FindSpec<ModelSpec>(ResourceKind::kModel, model);
+  if (const std::optional<ServedModel> served = m_state.view.Resolve(model);
+      served && spec) {
     input.replicas = spec->replicas;
     input.memory_mb = served->memory_mb;
   }
@@ -96,18 +102,21 @@
     input.record = *record;
   input.record.model = model;
   input.released = ReleasedBy(input.record);
-  const std::optional<PermitRecord> next = PlanPermits(now, input, m_state.roster);
+  const std::optional<PermitRecord> next =
+      PlanPermits(now, input, m_state.roster);
   if (!next)
     return;
   const std::uint64_t call = kFirstCall + m_state.NextCall();
   m_writes[call] = {.model = model, .base = next->revision};
   m_wait_until[model] = now + kWriteTimeout;
-  m_state.Log(LogEvent::kPermitsPlanned, {{"model", model},
-                                          {"replicas", std::to_string(input.replicas)},
-                                          {"active", JoinVms(*next, PermitState::kActive)},
-                                          {"revoked", JoinVms(*next, PermitState::kRevoked)},
-                                          {"base", std::to_string(next->revision)}});
-  m_state.Emit(WriteRecord{.call = call, .base = next->revision, .record = *next});
+  m_state.Log(LogEvent::kPermitsPlanned,
+              {{"model", model},
+               {"replicas", std::to_string(input.replicas)},
+               {"active", JoinVms(*next, PermitState::kActive)},
+               {"revoked", JoinVms(*next, PermitState::kRevoked)},
+               {"base", std::to_string(next->revision)}});
+  m_state.Emit(
+      WriteRecord{.call = call, .base = next->revision, .record = *next});
 }
 
 bool PlannerDuty::Written(TimePoint now, const RecordWritten& written) {
@@ -116,8 +125,8 @@
     return false;
   const std::string model = found->second.model;
   m_writes.erase(found);
-  // why: planned again only from a record that the feed has brought; until then a second plan would
-  // only meet the first one
+  // why: planned again only from a record that the feed has brought; until then
+  // a second plan would only meet the first one
   m_wait_until[model] = now + kAfterConflict;
   if (written.outcome == WriteOutcome::kConflict)
     m_state.Log(LogEvent::kPermitsConflict, {{"model", model}});
--- a/source/core/router/planner_duty.h
+++ b/source/core/router/planner_duty.h
@@ -1,4 +1,5 @@
-// The duty of planning permits: each model has one router that should do it, found by hashing.
+// The duty of planning permits: each model has one router that should do it,
+// found by hashing.
 #pragma once
 
 #include <cstdint>
@@ -17,12 +18,15 @@
  public:
   static constexpr Duration kPeriod = std::chrono::milliseconds(300);
 
-  PlannerDuty(RouterState& state, const AgentTable& agents) : m_state(state), m_agents(agents) {}
+  PlannerDuty(RouterState& state, const AgentTable& agents)
+      : m_state(state), m_agents(agents) {}
 
   void Tick(TimePoint now);
-  // An agent has said which units it holds, having seen the feed up to its revision.
+  // An agent has said which units it holds, having seen the feed up to its
+  // revision.
   void TakeReport(const std::string& vm, const AgentReport& report);
-  // The answer to a write of this duty; false when the call is not of this duty.
+  // The answer to a write of this duty; false when the call is not of this
+  // duty.
   bool Written(TimePoint now, const RecordWritten& written);
 
  private:
@@ -46,7 +50,8 @@
   const AgentTable& m_agents;
   TimePoint m_next = TimePoint{};
   std::map<std::uint64_t, OpenWrite> m_writes;
-  // Models with an open or an undecided write: planned again when the feed shows a newer record.
+  // Models with an open or an undecided write: planned again when the feed
+  // shows a newer record.
   std::map<std::string, TimePoint> m_wait_until;
   std::map<std::string, SeenReport> m_reports;
 };
--- a/source/core/router/router.cc
+++ b/source/core/router/router.cc
@@ -14,7 +14,8 @@
 constexpr Duration kIdleTick = std::chrono::milliseconds(100);
 // Period of the duties that no caller waits for.
 constexpr Duration kSlowTick = std::chrono::milliseconds(100);
-// Pages looked at for adoption in each slow tick: few calls a second, over all routers.
+// Pages looked at for adoption in each slow tick: few calls a second, over all
+// routers.
 constexpr std::uint32_t kAdoptionsPerTick = 1;
 constexpr Duration kGiveBackPatience = std::chrono::seconds(5);
 // Calls about pages of once-claims are numbered by the tag and the page.
@@ -29,7 +30,8 @@
       m_planner(m_state, m_agents) {}
 
 std::vector<RouterEffect> Router::Handle(TimePoint now, RouterEvent event) {
-  std::visit([&](auto&& held) { On(now, std::forward<decltype(held)>(held)); }, std::move(event));
+  std::visit([&](auto&& held) { On(now, std::forward<decltype(held)>(held)); },
+             std::move(event));
   CollectFeed(now);
   CollectOnce(now);
   return std::exchange(m_state.effects, {});
@@ -63,7 +65,8 @@
   }
   const auto page = static_cast<std::uint32_t>(event.call & 0xffffffffU);
   if ((event.call >> 32U) == kOnceCallTag) {
-    m_state.once.PageWritten(now, page, event.outcome, event.revision, m_state.roster);
+    m_state.once.PageWritten(now, page, event.outcome, event.revision,
+                             m_state.roster);
     if (event.outcome == WriteOutcome::kConflict)
       m_state.Log(LogEvent::kOnceConflict, {{"page", std::to_string(page)}});
     return;
@@ -75,7 +78,8 @@
 
 void Router::On(TimePoint now, OncePageRead event) {
   if (event.answered)
-    m_state.once.PageRead(now, event.page, std::move(event.record), m_state.roster);
+    m_state.once.PageRead(now, event.page, std::move(event.record),
+                          m_state.roster);
   else
     m_state.once.PageReadFailed(now, event.page);
 }
@@ -106,15 +110,20 @@
 void Router::On(TimePoint now, PeerReceived event) {
   m_state.roster.Heard(event.from.vm, event.from.incarnation);
   std::visit(
-      [&](auto&& message) { OnPeer(now, event.from, std::forward<decltype(message)>(message)); },
+      [&](auto&& message) {
+        OnPeer(now, event.from, std::forward<decltype(message)>(message));
+      },
       std::move(event.message));
 }
 
 template <typename Message>
 void Router::OnPeer(TimePoint now, const PeerSender& from, Message message) {
   [[maybe_unused]] const ProcessId process{
-      .vm = from.vm, .incarnation = from.incarnation, .listed_version = m_state.roster.version()};
-  if constexpr (std::is_same_v<Message, RunProgress> || std::is_same_v<Message, RunHead> ||
+      .vm = from.vm,
+      .incarnation = from.incarnation,
+      .listed_version = m_state.roster.version()};
+  if constexpr (std::is_same_v<Message, RunProgress> ||
+                std::is_same_v<Message, RunHead> ||
                 std::is_same_v<Message, RunChunk>) {
     m_flights.Take(now, from, std::move(message));
   } else if constexpr (std::is_same_v<Message, RunEnded>) {
@@ -132,7 +141,8 @@
   } else if constexpr (std::is_same_v<Message, RosterList>) {
     m_state.feed.HandleRosterList(now, message, m_state.roster);
   } else if constexpr (std::is_same_v<Message, QuotaAsk>) {
-    const std::string borrower = from.vm + "#" + std::to_string(from.incarnation);
+    const std::string borrower =
+        from.vm + "#" + std::to_string(from.incarnation);
     const QuotaLoan loan = m_state.quota.HandleAsk(now, borrower, message);
     if (message.wanted > 0)
       m_state.Emit(SendToEndpoint{.endpoint = from.endpoint, .message = loan});
@@ -145,7 +155,8 @@
     m_state.once.HandleOutcome(now, process, message);
   } else if constexpr (std::is_same_v<Message, OnceVerdict> ||
                        std::is_same_v<Message, OnceOutcomeStored> ||
-                       std::is_same_v<Message, CrashNotice> || std::is_same_v<Message, SlotGrant>) {
+                       std::is_same_v<Message, CrashNotice> ||
+                       std::is_same_v<Message, SlotGrant>) {
     m_flights.Take(now, message);
   } else if constexpr (std::is_same_v<Message, SlotAsk>) {
     SendGrants(m_slots.HandleAsk(now, from, message));
@@ -180,7 +191,8 @@
 
 void Router::ApplyConfig(TimePoint now, const FeedChanged& changed) {
   using Origin = QuotaDesk::TeamOrigin;
-  const Origin origin = changed.from_snapshot ? Origin::kFound : Origin::kCreated;
+  const Origin origin =
+      changed.from_snapshot ? Origin::kFound : Origin::kCreated;
   for (const FeedItem& item : changed.items) {
     if (const auto* page = std::get_if<SharePage>(&item.value)) {
       m_state.quota.SetPage(now, *page);
@@ -192,8 +204,9 @@
     }
     m_state.view.Apply(item);
   }
-  m_state.Log(LogEvent::kConfigApplied, {{"revision", std::to_string(m_state.feed.revision())},
-                                         {"items", std::to_string(changed.items.size())}});
+  m_state.Log(LogEvent::kConfigApplied,
+              {{"revision", std::to_string(m_state.feed.revision())},
+               {"items", std::to_string(changed.items.size())}});
   m_flights.CheckKeys(now);
   m_flights.Pump(now);
 }
@@ -203,8 +216,9 @@
     return;
   m_state.quota.SetSelfListedVersion(list.version);
   m_state.once.SetSelfListedVersion(list.version);
-  m_state.Log(LogEvent::kRosterChanged, {{"version", std::to_string(list.version)},
-                                         {"vms", std::to_string(list.entries.size())}});
+  m_state.Log(LogEvent::kRosterChanged,
+              {{"version", std::to_string(list.version)},
+               {"vms", std::to_string(list.entries.size())}});
 }
 
 void Router::CollectOnce(TimePoint now) {
@@ -216,14 +230,19 @@
         m_state.Emit(ReadOncePage{.page = read->page});
       } else if (auto* write = std::get_if<OnceWritePage>(&effect)) {
         const std::uint64_t call = (kOnceCallTag << 32U) | write->page.page;
-        m_state.Emit(WriteRecord{
-            .call = call, .base = write->page.revision, .record = std::move(write->page)});
+        m_state.Emit(WriteRecord{.call = call,
+                                 .base = write->page.revision,
+                                 .record = std::move(write->page)});
       } else if (auto* send = std::get_if<OnceSend>(&effect)) {
         if (send->vm == m_state.options.vm) {
-          std::visit([&](const auto& message) { m_flights.Take(now, message); }, send->message);
-        } else {
-          std::visit([&](auto& message) { m_state.SendToVm(send->vm, std::move(message)); },
+          std::visit([&](const auto& message) { m_flights.Take(now, message); },
                      send->message);
+        } else {
+          std::visit(
+              [&](auto& message) {
+                m_state.SendToVm(send->vm, std::move(message));
+              },
+              send->message);
         }
       }
     }
@@ -260,14 +279,17 @@
 void Router::PlanShares(TimePoint now) {
   if (!m_state.feed.HasView())
     return;
-  std::optional<SharePage> page = m_state.quota.PlanPage(now, m_state.roster, m_state.draining);
+  std::optional<SharePage> page =
+      m_state.quota.PlanPage(now, m_state.roster, m_state.draining);
   if (!page)
     return;
   m_share_call = m_state.NextCall();
-  m_state.Log(LogEvent::kSharePlanned, {{"page", std::to_string(page->page)},
-                                        {"units", std::to_string(UnitsOf(*page, m_state.self()))},
-                                        {"base", std::to_string(page->revision)}});
-  m_state.Emit(WriteRecord{.call = m_share_call, .base = page->revision, .record = *page});
+  m_state.Log(LogEvent::kSharePlanned,
+              {{"page", std::to_string(page->page)},
+               {"units", std::to_string(UnitsOf(*page, m_state.self()))},
+               {"base", std::to_string(page->revision)}});
+  m_state.Emit(WriteRecord{
+      .call = m_share_call, .base = page->revision, .record = *page});
 }
 
 void Router::AdoptOncePages(TimePoint now) {
@@ -276,8 +298,8 @@
     return;
   for (std::uint32_t i = 0; i < kAdoptionsPerTick; ++i) {
     const std::uint32_t page = m_next_adoption++ % kOncePageCount;
-    const std::vector<std::string> order =
-        RendezvousOrder("once-page/" + std::to_string(page), m_state.roster.LiveRouters());
+    const std::vector<std::string> order = RendezvousOrder(
+        "once-page/" + std::to_string(page), m_state.roster.LiveRouters());
     if (!order.empty() && order.front() == m_state.options.vm)
       m_state.once.Adopt(now, page);
   }
@@ -291,7 +313,8 @@
     return;
   m_state.draining = true;
   m_drain_started = now;
-  m_state.Log(LogEvent::kDraining, {{"open", std::to_string(m_flights.OpenRequests())}});
+  m_state.Log(LogEvent::kDraining,
+              {{"open", std::to_string(m_flights.OpenRequests())}});
 }
 
 void Router::CheckDrain(TimePoint now) {
@@ -305,8 +328,8 @@
     m_state.once.Release();
     m_state.once.Tick(now);
   }
-  // why: what can't be given back while the service is down is taken over later from the list of
-  // VMs
+  // why: what can't be given back while the service is down is taken over later
+  // from the list of VMs
   const bool given_back = !m_state.once.Busy() && !m_state.quota.HoldsShares();
   if (!given_back && now - m_give_back_started < kGiveBackPatience)
     return;
--- a/source/core/router/router.h
+++ b/source/core/router/router.h
@@ -1,5 +1,6 @@
-// The router as a machine without input or output: events go in with the present time, effects come
-// out. It composes the parts and holds no decision of its own beyond handing events to them.
+// The router as a machine without input or output: events go in with the
+// present time, effects come out. It composes the parts and holds no decision
+// of its own beyond handing events to them.
 #pragma once
 
 #include <vector>
@@ -19,6 +20,7 @@
  public:
   using Event = RouterEvent;
   using Effect = RouterEffect;
+  using TickEvent = Ticked;
 
   explicit Router(const RouterOptions& options);
   Router(const Router&) = delete;
--- a/source/core/router/router_messages.h
+++ b/source/core/router/router_messages.h
@@ -35,7 +35,8 @@
   OperatorRequest request;
 };
 
-// What the platform's service answered; `call` repeats the number of the effect.
+// What the platform's service answered; `call` repeats the number of the
+// effect.
 struct RecordWritten {
   std::uint64_t call = 0;
   WriteOutcome outcome = WriteOutcome::kUnknown;
@@ -109,12 +110,14 @@
   OperatorReply reply;
 };
 
-// Open connections to `endpoint` may have gone silent: the next message takes a new one.
+// Open connections to `endpoint` may have gone silent: the next message takes a
+// new one.
 struct RenewPeer {
   std::string endpoint;
 };
 
-// A write by compare-and-swap: only if the stored revision is `base`; 0: only if there is none.
+// A write by compare-and-swap: only if the stored revision is `base`; 0: only
+// if there is none.
 struct WriteRecord {
   std::uint64_t call = 0;
   Revision base = 0;
--- a/source/core/router/router_state.h
+++ b/source/core/router/router_state.h
@@ -1,5 +1,6 @@
-// What the parts of the router share: who it is, its view of the fleet, and the list of effects.
-// One owner; the parts hold references and run one after the other.
+// What the parts of the router share: who it is, its view of the fleet, and the
+// list of effects. One owner; the parts hold references and run one after the
+// other.
 #pragma once
 
 #include <string>
@@ -23,7 +24,8 @@
   std::string endpoint;
   std::vector<std::string> seeds;
   std::uint64_t random_seed = 1;
-  // Goes on serving for so long after a stop was asked for, until the balancer has noticed.
+  // Goes on serving for so long after a stop was asked for, until the balancer
+  // has noticed.
   Duration drain_grace = std::chrono::seconds(2);
 };
 
@@ -35,8 +37,10 @@
               .data_centre = router_options.data_centre,
               .role = NodeRole::kRouter,
               .seeds = router_options.seeds}),
-        quota({.vm = router_options.vm, .incarnation = router_options.incarnation}),
-        once({.vm = router_options.vm, .incarnation = router_options.incarnation}) {}
+        quota({.vm = router_options.vm,
+               .incarnation = router_options.incarnation}),
+        once({.vm = router_options.vm,
+              .incarnation = router_options.incarnation}) {}
 
   RouterOptions options;
   Random random;
@@ -52,7 +56,9 @@
   std::uint64_t NextCall() { return ++last_call; }
   std::uint64_t last_call = 0;
 
-  ProcessId self() const { return {.vm = options.vm, .incarnation = options.incarnation}; }
+  ProcessId self() const {
+    return {.vm = options.vm, .incarnation = options.incarnation};
+  }
 
   void Emit(RouterEffect effect) { effects.push_back(std::move(effect)); }
   void Log(LogEvent event, std::vector<LogField> fields) {
@@ -62,7 +68,8 @@
   void SendToVm(const std::string& vm, PeerMessage message) {
     const RosterEntry* entry = roster.Find(vm);
     if (entry != nullptr)
-      Emit(SendToEndpoint{.endpoint = entry->peer_endpoint, .message = std::move(message)});
+      Emit(SendToEndpoint{.endpoint = entry->peer_endpoint,
+                          .message = std::move(message)});
   }
 };
 
--- a/source/core/routing/choice.cc
+++ b/source/core/routing/choice.cc
@@ -14,22 +14,26 @@
 constexpr std::size_t kProbes = 4;
 
 double LoadOf(const Candidate& candidate) {
-  return static_cast<double>(candidate.reported_load + candidate.sent_since) / candidate.slots;
+  return static_cast<double>(candidate.reported_load + candidate.sent_since) /
+         candidate.slots;
 }
 
 double WarmCost(const Candidate& candidate) {
-  return LoadOf(candidate) + (candidate.same_data_centre ? 0 : kOtherDataCentrePenalty);
+  return LoadOf(candidate) +
+         (candidate.same_data_centre ? 0 : kOtherDataCentrePenalty);
 }
 
-// why: the data centre doesn't count here, so that first requests at many routers meet at one agent
-// and cause one load
+// why: the data centre doesn't count here, so that first requests at many
+// routers meet at one agent and cause one load
 double ColdCost(const Candidate& candidate) {
   if (candidate.resident)
     return LoadOf(candidate);
-  return LoadOf(candidate) + (candidate.loading ? kLoadingPenalty : kColdPenalty);
+  return LoadOf(candidate) +
+         (candidate.loading ? kLoadingPenalty : kColdPenalty);
 }
 
-std::optional<std::size_t> BestResidentProbe(const ChoiceInput& input, Random& random) {
+std::optional<std::size_t> BestResidentProbe(const ChoiceInput& input,
+                                             Random& random) {
   const std::size_t count = input.candidates.size();
   std::optional<std::size_t> best;
   double best_cost = 0;
@@ -60,18 +64,20 @@
 
 }  // namespace
 
-std::optional<std::size_t> AffinityOfTwo::Choose(const ChoiceInput& input, Random& random) const {
+std::optional<std::size_t> AffinityOfTwo::Choose(const ChoiceInput& input,
+                                                 Random& random) const {
   if (input.candidates.empty())
     return std::nullopt;
   const std::optional<std::size_t> resident = BestResidentProbe(input, random);
   if (resident)
     return resident;
-  // why: a cold start costs far more than a walk over the list, so it is chosen only when no agent
-  // has the model
+  // why: a cold start costs far more than a walk over the list, so it is chosen
+  // only when no agent has the model
   return CheapestOfAll(input);
 }
 
-std::optional<std::size_t> RoundRobin::Choose(const ChoiceInput& input, Random& /*random*/) {
+std::optional<std::size_t> RoundRobin::Choose(const ChoiceInput& input,
+                                              Random& /*random*/) {
   if (input.candidates.empty())
     return std::nullopt;
   return m_next++ % input.candidates.size();
--- a/source/core/routing/choice.h
+++ b/source/core/routing/choice.h
@@ -27,21 +27,24 @@
 
 struct ChoiceInput {
   std::span<const Candidate> candidates;
-  // Hash of the beginning of the prompt: equal beginnings go to the same agent while its load
-  // allows, since its engine may have the prefix cached.
+  // Hash of the beginning of the prompt: equal beginnings go to the same agent
+  // while its load allows, since its engine may have the prefix cached.
   std::uint64_t affinity = 0;
 };
 
 template <typename P>
-concept ChoicePolicy = requires(P policy, const ChoiceInput& input, Random& random) {
+concept ChoicePolicy = requires(P policy,
+                                const ChoiceInput& input,
+                                Random& random) {
   { policy.Choose(input, random) } -> std::same_as<std::optional<std::size_t>>;
 };
 
-// Resident before loading before permitted; then the better of the agent that the affinity names
-// and a random other one.
+// Resident before loading before permitted; then the better of the agent that
+// the affinity names and a random other one.
 class AffinityOfTwo {
  public:
-  std::optional<std::size_t> Choose(const ChoiceInput& input, Random& random) const;
+  std::optional<std::size_t> Choose(const ChoiceInput& input,
+                                    Random& random) const;
 };
 
 // The naive policy: each in turn, whatever its load.
--- a/source/core/routing/event_stream.h
+++ b/source/core/routing/event_stream.h
@@ -1,5 +1,6 @@
-// Follows a stream of server-sent events: cuts it at event boundaries, counts the events and knows
-// whether its last one has come, so that a cut stream is never taken for a whole one.
+// Follows a stream of server-sent events: cuts it at event boundaries, counts
+// the events and knows whether its last one has come, so that a cut stream is
+// never taken for a whole one.
 #pragma once
 
 #include <cstdint>
@@ -13,7 +14,8 @@
   // An event longer than this is an error of the upstream, in bytes.
   static constexpr std::size_t kMaxEventSize = 1 << 20;
 
-  // Takes bytes as they come and returns the complete events among them, ready to be passed on.
+  // Takes bytes as they come and returns the complete events among them, ready
+  // to be passed on.
   std::string Take(std::string_view bytes);
 
   // Bytes of an incomplete event are thrown away, as when the upstream was cut.
--- a/source/core/routing/fair_queue.cc
+++ b/source/core/routing/fair_queue.cc
@@ -27,7 +27,8 @@
     const bool live = m_waiting.contains(ticket.id);
     if (live) {
       chosen.virtual_time = start;
-      lane.next_start = start + static_cast<double>(std::max<std::int64_t>(ticket.cost, 1));
+      lane.next_start =
+          start + static_cast<double>(std::max<std::int64_t>(ticket.cost, 1));
     }
     if (!lane.tickets.empty())
       chosen.order.emplace(lane.next_start, team);
@@ -41,7 +42,8 @@
 }
 
 std::optional<TicketId> FairQueue::Pop() {
-  PriorityClass& interactive = m_classes[static_cast<std::size_t>(Priority::kInteractive)];
+  PriorityClass& interactive =
+      m_classes[static_cast<std::size_t>(Priority::kInteractive)];
   PriorityClass& batch = m_classes[static_cast<std::size_t>(Priority::kBatch)];
   const bool batch_turn = m_interactive_run + 1 >= kBatchTurn;
   std::optional<QueueTicket> ticket = PopFrom(batch_turn ? batch : interactive);
@@ -81,7 +83,8 @@
 }
 
 void FifoQueue::Remove(TicketId id) {
-  std::erase_if(m_tickets, [&](const QueueTicket& ticket) { return ticket.id == id; });
+  std::erase_if(m_tickets,
+                [&](const QueueTicket& ticket) { return ticket.id == id; });
 }
 
 std::vector<TicketId> FifoQueue::TakeExpired(TimePoint now) {
--- a/source/core/routing/fair_queue.h
+++ b/source/core/routing/fair_queue.h
@@ -1,6 +1,6 @@
-// Queues of requests that wait for an upstream. FairQueue shares by token cost between teams
-// (start-time fair queueing) and between interactive and batch work; FifoQueue is the naive one it
-// is measured against.
+// Queues of requests that wait for an upstream. FairQueue shares by token cost
+// between teams (start-time fair queueing) and between interactive and batch
+// work; FifoQueue is the naive one it is measured against.
 #pragma once
 
 #include <concepts>
@@ -40,7 +40,8 @@
 };
 
 template <typename Q>
-concept RequestQueue = requires(Q queue, QueueTicket ticket, TicketId id, TimePoint now) {
+concept RequestQueue =
+    requires(Q queue, QueueTicket ticket, TicketId id, TimePoint now) {
   {queue.Push(ticket)};
   { queue.Pop() } -> std::same_as<std::optional<TicketId>>;
   {queue.Remove(id)};
--- a/source/core/routing/poison_book.cc
+++ b/source/core/routing/poison_book.cc
@@ -17,8 +17,8 @@
   if (notice.cleared) {
     const auto found = m_entries.find(notice.fingerprint);
     // why: a late all-clear doesn't undo a conviction
-    const bool suspect =
-        found != m_entries.end() && found->second.crashes.size() < kCrashesToConvict;
+    const bool suspect = found != m_entries.end() &&
+                         found->second.crashes.size() < kCrashesToConvict;
     if (suspect)
       m_entries.erase(found);
     return suspect;
@@ -31,8 +31,9 @@
 }
 
 void PoisonBook::Forget(TimePoint now) {
-  std::erase_if(m_entries,
-                [&](const auto& entry) { return now - entry.second.last_crash >= kSuspicionLife; });
+  std::erase_if(m_entries, [&](const auto& entry) {
+    return now - entry.second.last_crash >= kSuspicionLife;
+  });
 }
 
 }  // namespace boragepick
--- a/source/core/routing/poison_book.h
+++ b/source/core/routing/poison_book.h
@@ -1,6 +1,7 @@
-// Requests that crash their upstreams, by fingerprint. A request that was running when an upstream
-// crashed is a suspect and runs again only alone; one that crashed a second upstream is convicted
-// and refused. Innocents of the same batch clear themselves by running whole.
+// Requests that crash their upstreams, by fingerprint. A request that was
+// running when an upstream crashed is a suspect and runs again only alone; one
+// that crashed a second upstream is convicted and refused. Innocents of the
+// same batch clear themselves by running whole.
 #pragma once
 
 #include <cstdint>
@@ -25,7 +26,8 @@
     EnumName<PoisonVerdict>{PoisonVerdict::kConvicted, "convicted"},
 }};
 
-// Told to the other routers whenever an entry changes; doubled notices change nothing.
+// Told to the other routers whenever an entry changes; doubled notices change
+// nothing.
 struct CrashNotice {
   Fingerprint fingerprint = 0;
   // Names one crash: agent and the number of its engine's run.
--- a/source/core/routing/request.h
+++ b/source/core/routing/request.h
@@ -29,7 +29,8 @@
   Method method = Method::kPost;
   // Path and query, without any key.
   std::string path;
-  // SHA-256 of the caller's key; empty without one. The key itself never comes here.
+  // SHA-256 of the caller's key; empty without one. The key itself never comes
+  // here.
   std::string key_sha256;
   std::string idempotency_key;
   Priority priority = Priority::kInteractive;
--- a/source/core/routing/retry_budget.h
+++ b/source/core/routing/retry_budget.h
@@ -1,6 +1,7 @@
-// How many retries may be sent: a share of the first requests seen, so that on a day of failures
-// retries can't outgrow the load that caused them. Each router keeps the share for its own first
-// requests; over all routers the same share holds without any message.
+// How many retries may be sent: a share of the first requests seen, so that on
+// a day of failures retries can't outgrow the load that caused them. Each
+// router keeps the share for its own first requests; over all routers the same
+// share holds without any message.
 #pragma once
 
 #include <algorithm>
--- a/source/core/routing/slot_desk.cc
+++ b/source/core/routing/slot_desk.cc
@@ -25,7 +25,8 @@
                                                  const SlotAsk& ask) {
   std::vector<Grant> grants;
   Pool& pool = m_pools[ask.pool];
-  const Holder holder{.vm = from.vm, .incarnation = from.incarnation, .number = ask.number};
+  const Holder holder{
+      .vm = from.vm, .incarnation = from.incarnation, .number = ask.number};
   if (ask.done) {
     pool.erase(holder);
   } else {
@@ -35,28 +36,34 @@
     entry->second.priority = ask.priority;
     entry->second.repeated = now;
     if (entry->second.granted)
-      grants.push_back({.vm = from.vm, .grant = {.number = ask.number, .pool = ask.pool}});
+      grants.push_back(
+          {.vm = from.vm, .grant = {.number = ask.number, .pool = ask.pool}});
   }
   Fill(ask.pool, pool, grants);
   const auto asked = pool.find(holder);
   if (asked != pool.end() && !asked->second.granted) {
     grants.push_back(
-        {.vm = from.vm, .grant = {.number = ask.number, .pool = ask.pool, .granted = false}});
+        {.vm = from.vm,
+         .grant = {.number = ask.number, .pool = ask.pool, .granted = false}});
   }
   if (pool.empty())
     m_pools.erase(ask.pool);
   return grants;
 }
 
-void SlotDesk::Fill(const std::string& name, Pool& pool, std::vector<Grant>& grants) {
-  auto held = static_cast<std::size_t>(
-      std::ranges::count_if(pool, [](const auto& entry) { return entry.second.granted; }));
+void SlotDesk::Fill(const std::string& name,
+                    Pool& pool,
+                    std::vector<Grant>& grants) {
+  auto held = static_cast<std::size_t>(std::ranges::count_if(
+      pool, [](const auto& entry) { return entry.second.granted; }));
   while (held < SlotsOf(name)) {
     auto best = pool.end();
     for (auto it = pool.begin(); it != pool.end(); ++it) {
       if (it->second.granted)
         continue;
-      const auto rank = [](const Ask& ask) { return std::tuple(ask.priority, ask.order); };
+      const auto rank = [](const Ask& ask) {
+        return std::tuple(ask.priority, ask.order);
+      };
       if (best == pool.end() || rank(it->second) < rank(best->second))
         best = it;
     }
@@ -64,17 +71,21 @@
       return;
     best->second.granted = true;
     ++held;
-    grants.push_back({.vm = best->first.vm, .grant = {.number = best->first.number, .pool = name}});
+    grants.push_back({.vm = best->first.vm,
+                      .grant = {.number = best->first.number, .pool = name}});
   }
 }
 
 std::vector<SlotDesk::Grant> SlotDesk::Tick(TimePoint now) {
   std::vector<Grant> grants;
   for (auto& [name, pool] : m_pools) {
-    std::erase_if(pool, [&](const auto& e) { return now - e.second.repeated >= kAskLife; });
+    std::erase_if(pool, [&](const auto& e) {
+      return now - e.second.repeated >= kAskLife;
+    });
     Fill(name, pool, grants);
   }
-  std::erase_if(m_pools, [](const auto& entry) { return entry.second.empty(); });
+  std::erase_if(m_pools,
+                [](const auto& entry) { return entry.second.empty(); });
   return grants;
 }
 
@@ -82,8 +93,8 @@
   const auto found = m_pools.find(pool);
   if (found == m_pools.end())
     return 0;
-  return static_cast<std::size_t>(
-      std::ranges::count_if(found->second, [](const auto& entry) { return entry.second.granted; }));
+  return static_cast<std::size_t>(std::ranges::count_if(
+      found->second, [](const auto& entry) { return entry.second.granted; }));
 }
 
 }  // namespace boragepick
--- a/source/core/routing/slot_desk.h
+++ b/source/core/routing/slot_desk.h
@@ -1,7 +1,8 @@
-// Places that are few in the whole fleet: loads that the weight store bears at once, adapters in
-// flight, and the one trial of a suspect request. The router that rendezvous hashing names for a
-// pool keeps its list. Places are for speed, not for safety: a holder that falls silent loses its
-// place, and an agent that gets no answer goes on without one.
+// Places that are few in the whole fleet: loads that the weight store bears at
+// once, adapters in flight, and the one trial of a suspect request. The router
+// that rendezvous hashing names for a pool keeps its list. Places are for
+// speed, not for safety: a holder that falls silent loses its place, and an
+// agent that gets no answer goes on without one.
 #pragma once
 
 #include <cstdint>
@@ -23,7 +24,8 @@
 
 class SlotDesk {
  public:
-  // Asks are repeated every kAskPeriod; one not repeated for so long is forgotten, with its place.
+  // Asks are repeated every kAskPeriod; one not repeated for so long is
+  // forgotten, with its place.
   static constexpr Duration kAskPeriod = std::chrono::seconds(1);
   static constexpr Duration kAskLife = std::chrono::seconds(5);
 
@@ -32,8 +34,11 @@
     SlotGrant grant;
   };
 
-  // The grants to be sent. An ask that holds its place already is granted again.
-  std::vector<Grant> HandleAsk(TimePoint now, const PeerSender& from, const SlotAsk& ask);
+  // The grants to be sent. An ask that holds its place already is granted
+  // again.
+  std::vector<Grant> HandleAsk(TimePoint now,
+                               const PeerSender& from,
+                               const SlotAsk& ask);
   std::vector<Grant> Tick(TimePoint now);
 
   std::size_t Holding(const std::string& pool) const;
--- /dev/null
+++ b/source/frontends/etcd_codec.cc
@@ -0,0 +1,170 @@
+#include "frontends/etcd_codec.h"
+
+#include <algorithm>
+
+#include "common/error.h"
+#include "wire/generated/platform.pb.h"
+#include "wire/record_codec.h"
+
+namespace boragepick {
+
+namespace {
+
+using namespace wire::etcd;
+
+constexpr const char* kService = "key-value service";
+
+// The end of the range of all keys that begin with `prefix`.
+std::string PrefixEnd(std::string prefix) {
+  ++prefix.back();
+  return prefix;
+}
+
+template <typename Message>
+Message Decode(const std::string& json) {
+  Message message;
+  FromJson(json, message, UnknownFields::kIgnore, Step::kDecodePlatformReply,
+           kService);
+  return message;
+}
+
+RangeRequest FeedRange() {
+  RangeRequest request;
+  request.set_key(kFeedPrefix);
+  request.set_range_end(PrefixEnd(kFeedPrefix));
+  return request;
+}
+
+TxnRequest CompareRevision(const std::string& key, Revision base) {
+  TxnRequest request;
+  Compare& compare = *request.add_compare();
+  compare.set_result(Compare::EQUAL);
+  compare.set_target(Compare::MOD);
+  compare.set_key(key);
+  compare.set_mod_revision(base);
+  return request;
+}
+
+void AddItem(const KeyValue& kv, DecodedFeed& feed) {
+  try {
+    feed.update.items.push_back(
+        DecodeFeedValue(kv.key(), kv.value(), kv.mod_revision()));
+  } catch (const Error& error) {
+    feed.rejected.push_back(kv.key() + ": " + error.reason());
+  }
+}
+
+}  // namespace
+
+StoredRecord EncodeRecord(const WriteRecord& write) {
+  if (const auto* resource = std::get_if<Resource>(&write.record))
+    return {ResourceKey(KindOf(resource->spec), resource->name),
+            EncodeValue(*resource)};
+  if (const auto* permits = std::get_if<PermitRecord>(&write.record))
+    return {PermitKey(permits->model), EncodeValue(*permits)};
+  if (const auto* shares = std::get_if<SharePage>(&write.record))
+    return {ShareKey(shares->page), EncodeValue(*shares)};
+  const auto& page = std::get<OncePage>(write.record);
+  return {OnceKey(page.page), EncodeValue(page)};
+}
+
+std::string EncodeRange(const std::string& key) {
+  RangeRequest request;
+  request.set_key(key);
+  return ToJson(request);
+}
+
+std::string EncodeFeedRange() {
+  return ToJson(FeedRange());
+}
+
+std::string EncodeFeedProbe() {
+  RangeRequest request = FeedRange();
+  request.set_limit(1);
+  request.set_sort_order(RangeRequest::DESCEND);
+  request.set_sort_target(RangeRequest::MOD);
+  request.set_keys_only(true);
+  return ToJson(request);
+}
+
+std::string EncodeFeedWatch(Revision start) {
+  WatchRequest request;
+  WatchCreateRequest& create = *request.mutable_create_request();
+  create.set_key(kFeedPrefix);
+  create.set_range_end(PrefixEnd(kFeedPrefix));
+  create.set_start_revision(start);
+  return ToJson(request);
+}
+
+std::string EncodeCompareAndPut(const StoredRecord& record, Revision base) {
+  TxnRequest request = CompareRevision(record.key, base);
+  PutRequest& put = *request.add_success()->mutable_request_put();
+  put.set_key(record.key);
+  put.set_value(record.value);
+  return ToJson(request);
+}
+
+std::string EncodeCompareAndDelete(const std::string& key, Revision base) {
+  TxnRequest request = CompareRevision(key, base);
+  request.add_success()->mutable_request_delete_range()->set_key(key);
+  return ToJson(request);
+}
+
+RecordWritten DecodeTxn(const std::string& json, std::uint64_t call) {
+  const auto response = Decode<TxnResponse>(json);
+  return {.call = call,
+          .outcome = response.succeeded() ? WriteOutcome::kWritten
+                                          : WriteOutcome::kConflict,
+          .revision = response.header().revision()};
+}
+
+std::optional<RangeValue> DecodeRange(const std::string& json) {
+  const auto response = Decode<RangeResponse>(json);
+  if (response.kvs().empty())
+    return std::nullopt;
+  return RangeValue{.value = response.kvs(0).value(),
+                    .revision = response.kvs(0).mod_revision()};
+}
+
+FeedProbed DecodeProbe(const std::string& json) {
+  const auto response = Decode<RangeResponse>(json);
+  FeedProbed probed{.items = static_cast<std::size_t>(response.count())};
+  if (!response.kvs().empty())
+    probed.newest = response.kvs(0).mod_revision();
+  return probed;
+}
+
+DecodedFeed DecodeFeedSnapshot(const std::string& json) {
+  const auto response = Decode<RangeResponse>(json);
+  DecodedFeed feed;
+  feed.update.snapshot = true;
+  feed.update.revision = response.header().revision();
+  for (const KeyValue& kv : response.kvs())
+    AddItem(kv, feed);
+  return feed;
+}
+
+std::optional<DecodedFeed> DecodeWatchLine(const std::string& line) {
+  const auto decoded = Decode<WatchStreamLine>(line);
+  const WatchResponse& response = decoded.result();
+  if (response.canceled())
+    throw Error(Step::kDecodePlatformReply, kService,
+                "the watch was cancelled");
+  if (response.events().empty())
+    return std::nullopt;
+  DecodedFeed feed;
+  for (const Event& event : response.events()) {
+    const KeyValue& kv = event.kv();
+    feed.update.revision = std::max(feed.update.revision, kv.mod_revision());
+    if (event.type() == Event::DELETE) {
+      feed.update.items.push_back({.key = kv.key(),
+                                   .revision = kv.mod_revision(),
+                                   .value = DeletedItem{}});
+    } else {
+      AddItem(kv, feed);
+    }
+  }
+  return feed;
+}
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/frontends/http_front.cc
@@ -0,0 +1,332 @@
+#include "frontends/http_front.h"
+
+#include <algorithm>
+#include <string_view>
+
+#include "common/error.h"
+#include "common/hashing.h"
+#include "frontends/operator_codec.h"
+
+namespace boragepick {
+
+namespace {
+
+constexpr const char* kJson = "application/json";
+constexpr const char* kText = "text/plain";
+constexpr const char* kReceivedBytes = "boragepick-received-bytes";
+
+std::string HeaderOf(SoupServerMessage* message, const char* name) {
+  SoupMessageHeaders* headers =
+      soup_server_message_get_request_headers(message);
+  const char* value = soup_message_headers_get_one(headers, name);
+  return value == nullptr ? "" : value;
+}
+
+void Respond(SoupServerMessage* message,
+             std::uint32_t status,
+             const std::string& content_type,
+             const std::string& body) {
+  soup_server_message_set_status(message, status, nullptr);
+  soup_server_message_set_response(message, content_type.c_str(),
+                                   SOUP_MEMORY_COPY, body.data(), body.size());
+}
+
+void RespondRefusal(SoupServerMessage* message, const Refusal& refusal) {
+  using std::chrono::ceil;
+  using std::chrono::seconds;
+  if (refusal.retry_after > Duration::zero()) {
+    const auto wait = ceil<seconds>(refusal.retry_after);
+    soup_message_headers_replace(
+        soup_server_message_get_response_headers(message), "Retry-After",
+        std::to_string(wait.count()).c_str());
+  }
+  Respond(message, RefusalInfo(refusal.code).http_status, kJson,
+          EncodeRefusal(refusal));
+}
+
+HttpCall ToCall(SoupServerMessage* message) {
+  GUri* uri = soup_server_message_get_uri(message);
+  HttpCall call{
+      .method = soup_server_message_get_method(message),
+      .target = g_uri_get_path(uri),
+      .headers = {.authorization = HeaderOf(message, "Authorization"),
+                  .idempotency_key = HeaderOf(message, "Idempotency-Key"),
+                  .deadline_ms = HeaderOf(message, "Boragepick-Deadline-Ms"),
+                  .priority = HeaderOf(message, "Boragepick-Priority"),
+                  .content_type = HeaderOf(message, "Content-Type")}};
+  if (const char* query = g_uri_get_query(uri); query != nullptr)
+    call.target += std::string("?") + query;
+  SoupMessageBody* body = soup_server_message_get_request_body(message);
+  GBytes* bytes = soup_message_body_flatten(body);
+  gsize size = 0;
+  const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+  if (size > 0)
+    call.body.assign(data, size);
+  g_bytes_unref(bytes);
+  return call;
+}
+
+}  // namespace
+
+HttpFront::HttpFront(GlibLoop& /*loop*/,
+                     FrontOptions options,
+                     FrontOutlet outlet)
+    : m_options(std::move(options)),
+      m_outlet(std::move(outlet)),
+      m_server(soup_server_new("server-header", "boragepick", nullptr)) {
+  soup_server_add_early_handler(m_server, nullptr, OnEarly, this, nullptr);
+  soup_server_add_handler(m_server, nullptr, OnRequest, this, nullptr);
+  GSocketAddress* address = g_inet_socket_address_new_from_string(
+      m_options.endpoint.ip.c_str(), m_options.endpoint.port);
+  const std::string where =
+      m_options.endpoint.ip + ":" + std::to_string(m_options.endpoint.port);
+  if (address == nullptr)
+    throw Error(Step::kListen, where, "expected an IP number");
+  GError* error = nullptr;
+  soup_server_listen(m_server, address, static_cast<SoupServerListenOptions>(0),
+                     &error);
+  g_object_unref(address);
+  if (error == nullptr)
+    return;
+  const std::string reason = error->message;
+  g_error_free(error);
+  throw Error(Step::kListen, where, reason);
+}
+
+HttpFront::~HttpFront() {
+  soup_server_disconnect(m_server);
+  g_object_unref(m_server);
+}
+
+void HttpFront::Handle(FrontMessage message) {
+  std::visit([this](const auto& held) { On(held); }, message);
+}
+
+// --- Requests ---
+
+void HttpFront::OnEarly(SoupServer* /*server*/,
+                        SoupServerMessage* message,
+                        const char* /*path*/,
+                        GHashTable* /*query*/,
+                        gpointer self) {
+  auto* front = static_cast<HttpFront*>(self);
+  SoupMessageHeaders* headers =
+      soup_server_message_get_request_headers(message);
+  const goffset length = soup_message_headers_get_content_length(headers);
+  if (static_cast<std::size_t>(length) > front->m_options.max_body_bytes) {
+    Respond(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, kJson,
+            EncodeRefusal({.message = "the body is too large"}));
+    return;
+  }
+  g_signal_connect(message, "got-chunk", G_CALLBACK(OnGotChunk), self);
+}
+
+void HttpFront::OnGotChunk(SoupServerMessage* message,
+                           GBytes* chunk,
+                           gpointer self) {
+  auto* front = static_cast<HttpFront*>(self);
+  const gsize before =
+      GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(message), kReceivedBytes));
+  const gsize received = before + g_bytes_get_size(chunk);
+  g_object_set_data(G_OBJECT(message), kReceivedBytes,
+                    GSIZE_TO_POINTER(received));
+  if (received <= front->m_options.max_body_bytes)
+    return;
+  // why: a body of unknown length is cut off as soon as it is too long
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket != nullptr)
+    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+}
+
+void HttpFront::OnRequest(SoupServer* /*server*/,
+                          SoupServerMessage* message,
+                          const char* path,
+                          GHashTable* /*query*/,
+                          gpointer self) {
+  static_cast<HttpFront*>(self)->Serve(message, path);
+}
+
+void HttpFront::Serve(SoupServerMessage* message, const std::string& path) {
+  if (path == "/healthz") {
+    Respond(message, SOUP_STATUS_OK, kText, "ok\n");
+    return;
+  }
+  if (path == "/readyz") {
+    Respond(message, m_ready ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE,
+            kText, m_ready ? "ready\n" : "not ready\n");
+    return;
+  }
+  if (path == "/metrics") {
+    AskOperator(message, GetMetrics{});
+    return;
+  }
+  HttpCall call = ToCall(message);
+  if (path.starts_with(kOperatorPrefix)) {
+    ServeOperator(message, call);
+    return;
+  }
+  if (!m_outlet.caller_arrived) {
+    RespondRefusal(message, {.code = RefusalCode::kRouteUnknown,
+                             .message = "callers are served by routers"});
+    return;
+  }
+  ServeCaller(message, std::move(call));
+}
+
+void HttpFront::ServeCaller(SoupServerMessage* message, HttpCall call) {
+  try {
+    CallerRequest request = DecodeCall(call, m_last_id + 1, m_options.defaults);
+    Open(message, true);
+    m_outlet.caller_arrived(std::move(request));
+  } catch (const Error& error) {
+    RespondRefusal(
+        message, {.code = RefusalCode::kBadRequest, .message = error.reason()});
+  }
+}
+
+void HttpFront::ServeOperator(SoupServerMessage* message,
+                              const HttpCall& call) {
+  constexpr std::string_view kBearer = "Bearer ";
+  const std::string& authorization = call.headers.authorization;
+  const bool known = !m_options.operator_token_sha256.empty() &&
+                     authorization.starts_with(kBearer) &&
+                     Sha256Hex(authorization.substr(kBearer.size())) ==
+                         m_options.operator_token_sha256;
+  if (!known) {
+    RespondRefusal(message, {.code = RefusalCode::kKeyUnknown,
+                             .message = "expected the operators' token"});
+    return;
+  }
+  try {
+    AskOperator(message, DecodeOperatorCall({.method = call.method,
+                                             .target = call.target,
+                                             .body = call.body}));
+  } catch (const Error& error) {
+    const OperatorAnswer answer = EncodeOperatorReply(OperatorError{
+        .code = OperatorErrorCode::kInvalid, .message = error.reason()});
+    Respond(message, answer.status, answer.content_type, answer.body);
+  }
+}
+
+void HttpFront::AskOperator(SoupServerMessage* message, OperatorAction action) {
+  const std::uint64_t id = Open(message, false);
+  m_outlet.operator_asked(
+      {.id = id,
+       .writer_token = m_options.writer_prefix + std::to_string(id),
+       .action = std::move(action)});
+}
+
+std::uint64_t HttpFront::Open(SoupServerMessage* message, bool caller) {
+  const std::uint64_t id = ++m_last_id;
+  m_exchanges[id] = {.message = SOUP_SERVER_MESSAGE(g_object_ref(message)),
+                     .caller = caller};
+  m_ids[message] = id;
+  ++m_unfinished;
+  g_signal_connect(message, "finished", G_CALLBACK(OnFinished), this);
+  soup_server_message_pause(message);
+  return id;
+}
+
+void HttpFront::OnFinished(SoupServerMessage* message, gpointer self) {
+  auto* front = static_cast<HttpFront*>(self);
+  --front->m_unfinished;
+  if (front->m_finishing && front->m_unfinished == 0)
+    front->m_outlet.answers_finished();
+  const auto found = front->m_ids.find(message);
+  if (found == front->m_ids.end())
+    return;
+  const std::uint64_t id = found->second;
+  const bool caller = front->m_exchanges.at(id).caller;
+  front->Close(id);
+  if (caller)
+    front->m_outlet.caller_gone(id);
+}
+
+HttpFront::Exchange* HttpFront::Find(std::uint64_t id) {
+  const auto found = m_exchanges.find(id);
+  return found == m_exchanges.end() ? nullptr : &found->second;
+}
+
+void HttpFront::Close(std::uint64_t id) {
+  Exchange* exchange = Find(id);
+  if (exchange == nullptr)
+    return;
+  m_ids.erase(exchange->message);
+  g_object_unref(exchange->message);
+  m_exchanges.erase(id);
+}
+
+void HttpFront::On(const FinishAnswers& /*message*/) {
+  m_finishing = true;
+  if (m_unfinished == 0)
+    m_outlet.answers_finished();
+}
+
+// --- Answers ---
+
+void HttpFront::On(const CallerHead& message) {
+  Exchange* exchange = Find(message.id);
+  if (exchange == nullptr)
+    return;
+  exchange->stream = message.stream;
+  soup_server_message_set_status(exchange->message, message.head.status,
+                                 nullptr);
+  SoupMessageHeaders* headers =
+      soup_server_message_get_response_headers(exchange->message);
+  if (!message.head.content_type.empty())
+    soup_message_headers_set_content_type(
+        headers, message.head.content_type.c_str(), nullptr);
+  if (!message.stream)
+    return;
+  soup_message_headers_set_encoding(headers, SOUP_ENCODING_CHUNKED);
+  soup_message_body_set_accumulate(
+      soup_server_message_get_response_body(exchange->message), FALSE);
+}
+
+void HttpFront::On(const CallerBytes& message) {
+  Exchange* exchange = Find(message.id);
+  if (exchange == nullptr || message.bytes.empty())
+    return;
+  soup_message_body_append(
+      soup_server_message_get_response_body(exchange->message),
+      SOUP_MEMORY_COPY, message.bytes.data(), message.bytes.size());
+  if (exchange->stream)
+    soup_server_message_unpause(exchange->message);
+}
+
+void HttpFront::On(const CallerEnd& message) {
+  Exchange* exchange = Find(message.id);
+  if (exchange == nullptr)
+    return;
+  SoupServerMessage* answered = exchange->message;
+  soup_message_body_complete(soup_server_message_get_response_body(answered));
+  soup_server_message_unpause(answered);
+  Close(message.id);
+}
+
+void HttpFront::On(const CallerRefused& message) {
+  Exchange* exchange = Find(message.id);
+  if (exchange == nullptr)
+    return;
+  if (message.midway) {
+    On(CallerBytes{.id = message.id,
+                   .bytes = EncodeRefusalEvent(message.refusal)});
+    On(CallerEnd{.id = message.id});
+    return;
+  }
+  RespondRefusal(exchange->message, message.refusal);
+  soup_server_message_unpause(exchange->message);
+  Close(message.id);
+}
+
+void HttpFront::On(const OperatorAnswered& message) {
+  Exchange* exchange = Find(message.id);
+  if (exchange == nullptr)
+    return;
+  const OperatorAnswer answer = EncodeOperatorReply(message.reply);
+  Respond(exchange->message, answer.status, answer.content_type, answer.body);
+  soup_server_message_unpause(exchange->message);
+  Close(message.id);
+}
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/frontends/operator_codec.h
@@ -0,0 +1,34 @@
+// The operators' interface as JSON, apart from any socket.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "core/operator_messages.h"
+
+namespace boragepick {
+
+inline constexpr const char* kOperatorPrefix = "/boragepick/v1/";
+
+struct OperatorCall {
+  std::string method;
+  // Path and query as sent.
+  std::string target;
+  std::string body;
+};
+
+// Throws Error at Step::kDecodeDocument; the message names the field.
+OperatorAction DecodeOperatorCall(const OperatorCall& call);
+
+// One resource document. Throws Error at Step::kDecodeDocument.
+PutResource DecodeDocument(std::string_view json);
+
+struct OperatorAnswer {
+  std::uint32_t status = 200;
+  std::string content_type = "application/json";
+  std::string body;
+};
+OperatorAnswer EncodeOperatorReply(const OperatorReply& reply);
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/frontends/peer_task.cc
@@ -0,0 +1,166 @@
+#include "frontends/peer_task.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+#include "common/error.h"
+#include "wire/peer_codec.h"
+
+namespace boragepick {
+
+namespace {
+
+constexpr int kSendQueue = 20'000;
+constexpr int kReceiveQueue = 100'000;
+constexpr int kHeartbeatMs = 1'000;
+constexpr int kHeartbeatTimeoutMs = 3'000;
+constexpr int kConnectTimeoutMs = 1'000;
+constexpr int kReconnectMs = 100;
+constexpr int kReconnectMaxMs = 2'000;
+constexpr std::int64_t kMaxFrameBytes = 64 << 20;
+// Sent messages get so long to leave when the process ends.
+constexpr int kFinalLingerMs = 500;
+// Connections kept; the one unused for longest is closed for a new one.
+constexpr std::size_t kMaxOutgoing = 2'000;
+// Messages taken at a time, so that sends are not kept waiting.
+constexpr int kReceiveBatch = 256;
+
+}  // namespace
+
+PeerTask::PeerTask(PeerOptions options, PeerOutlet outlet)
+    : m_options(std::move(options)),
+      m_outlet(std::move(outlet)),
+      m_incoming(m_context, zmq::socket_type::pull) {
+  m_incoming.set(zmq::sockopt::linger, 0);
+  m_incoming.set(zmq::sockopt::rcvhwm, kReceiveQueue);
+  m_incoming.set(zmq::sockopt::maxmsgsize, kMaxFrameBytes);
+  m_incoming.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
+  m_incoming.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+  const std::string& endpoint = m_options.self.endpoint;
+  try {
+    SetCurve(m_incoming, true);
+    m_incoming.bind("tcp://" + endpoint);
+  } catch (const zmq::error_t& error) {
+    throw Error(Step::kListen, endpoint, error.what());
+  }
+}
+
+PeerTask::~PeerTask() {
+  Stop();
+}
+
+void PeerTask::SetCurve(zmq::socket_t& socket, bool server) const {
+  if (m_options.curve_public_key.empty())
+    return;
+  socket.set(zmq::sockopt::curve_secretkey, m_options.curve_secret_key);
+  socket.set(zmq::sockopt::curve_publickey, m_options.curve_public_key);
+  if (server)
+    socket.set(zmq::sockopt::curve_server, true);
+  else
+    socket.set(zmq::sockopt::curve_serverkey, m_options.curve_public_key);
+}
+
+void PeerTask::Start() {
+  m_thread = std::thread([this] { Run(); });
+}
+
+void PeerTask::Stop() {
+  if (!m_thread.joinable())
+    return;
+  m_mailbox.Post(StopPeers{});
+  m_thread.join();
+}
+
+void PeerTask::Run() {
+  bool running = true;
+  while (running) {
+    std::array<zmq::pollitem_t, 2> items{
+        zmq::pollitem_t{m_incoming.handle(), 0, ZMQ_POLLIN, 0},
+        zmq::pollitem_t{nullptr, m_mailbox.wake_up().fd(), ZMQ_POLLIN, 0}};
+    zmq::poll(items.data(), items.size(), std::chrono::milliseconds(-1));
+    running = TakePosted();
+    Receive();
+  }
+  for (auto& [endpoint, outgoing] : m_outgoing)
+    outgoing.socket.set(zmq::sockopt::linger, kFinalLingerMs);
+  m_outgoing.clear();
+  m_incoming.close();
+}
+
+bool PeerTask::TakePosted() {
+  for (const auto& message : m_mailbox.TakeAll()) {
+    if (const auto* send = std::get_if<SendToEndpoint>(&message))
+      On(*send);
+    else if (const auto* renew = std::get_if<RenewPeer>(&message))
+      On(*renew);
+    else
+      return false;
+  }
+  return true;
+}
+
+void PeerTask::On(const SendToEndpoint& message) {
+  try {
+    Outgoing& outgoing = SocketTo(message.endpoint);
+    outgoing.last_used = ++m_uses;
+    const std::string frame = EncodePeerFrame(m_options.self, message.message);
+    // why: a full queue means a peer that does not read; whoever waits for an
+    // answer notices that none comes
+    outgoing.socket.send(zmq::buffer(frame), zmq::send_flags::dontwait);
+  } catch (const zmq::error_t& error) {
+    m_outlet.log(
+        {.event = LogEvent::kPeerFrameRejected,
+         .fields = {{"peer", message.endpoint}, {"detail", error.what()}}});
+  }
+}
+
+void PeerTask::On(const RenewPeer& message) {
+  m_outgoing.erase(message.endpoint);
+}
+
+PeerTask::Outgoing& PeerTask::SocketTo(const std::string& endpoint) {
+  const auto found = m_outgoing.find(endpoint);
+  if (found != m_outgoing.end())
+    return found->second;
+  if (m_outgoing.size() >= kMaxOutgoing)
+    CloseOldest();
+  zmq::socket_t socket(m_context, zmq::socket_type::push);
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::sndhwm, kSendQueue);
+  socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
+  socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+  socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
+  socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+  socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
+  SetCurve(socket, false);
+  socket.connect("tcp://" + endpoint);
+  return m_outgoing.emplace(endpoint, Outgoing{.socket = std::move(socket)})
+      .first->second;
+}
+
+void PeerTask::CloseOldest() {
+  const auto oldest = std::ranges::min_element(
+      m_outgoing, {}, [](const auto& entry) { return entry.second.last_used; });
+  m_outgoing.erase(oldest);
+}
+
+void PeerTask::Receive() {
+  zmq::message_t message;
+  for (int i = 0; i < kReceiveBatch; ++i) {
+    if (!m_incoming.recv(message, zmq::recv_flags::dontwait))
+      return;
+    try {
+      const std::string_view bytes(static_cast<const char*>(message.data()),
+                                   message.size());
+      PeerFrame frame = DecodePeerFrame(bytes, "peer port");
+      m_outlet.received(
+          {.from = std::move(frame.from), .message = std::move(frame.message)});
+    } catch (const Error& error) {
+      m_outlet.log({.event = LogEvent::kPeerFrameRejected,
+                    .fields = {{"detail", error.what()}}});
+    }
+  }
+}
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/frontends/platform_client.h
@@ -0,0 +1,88 @@
+// The task that talks to the platform: the key-value service and the list of
+// VMs. It carries out calls and reports their outcomes; it decides nothing.
+#pragma once
+
+#include <libsoup/soup.h>
+
+#include <functional>
+#include <string>
+#include <variant>
+
+#include "core/router/router_messages.h"
+#include "frontends/glib_task.h"
+#include "frontends/soup_call.h"
+
+namespace boragepick {
+
+using PlatformMessage = std::variant<WriteRecord,
+                                     DeleteRecord,
+                                     ReadOncePage,
+                                     ReadResource,
+                                     StartWatch,
+                                     StopWatch,
+                                     ProbeFeed,
+                                     PollVmList>;
+
+struct PlatformOptions {
+  std::string key_value_url;
+  std::string vm_list_url;
+  unsigned timeout_ms = 1000;
+};
+
+struct PlatformOutlet {
+  std::function<void(RouterEvent)> event;
+  std::function<void(LogRecord)> log;
+};
+
+class PlatformClient {
+ public:
+  PlatformClient(GlibLoop& loop,
+                 PlatformOptions options,
+                 PlatformOutlet outlet);
+  ~PlatformClient();
+  PlatformClient(const PlatformClient&) = delete;
+  PlatformClient& operator=(const PlatformClient&) = delete;
+
+  void Handle(PlatformMessage message);
+
+ private:
+  void On(const WriteRecord& message);
+  void On(const DeleteRecord& message);
+  void On(const ReadOncePage& message);
+  void On(const ReadResource& message);
+  void On(const StartWatch& message);
+  void On(const StopWatch& message);
+  void On(const ProbeFeed& message);
+  void On(const PollVmList& message);
+
+  void Call(const char* path, std::string body, HttpReplyHandler handler);
+  void Txn(std::uint64_t call, std::string body);
+  // Runs `decode` on a whole answer; reports one that is none.
+  template <typename Decode>
+  bool TryDecode(const HttpReply& reply, Decode decode);
+  void ReportFailure(const std::string& what);
+
+  void ReadSnapshot(std::uint64_t generation);
+  void OpenWatch(std::uint64_t generation, Revision start);
+  void LoseWatch(std::uint64_t generation, const std::string& why);
+  void ReadLine(std::uint64_t generation);
+  void TakeLine(const std::string& line);
+  void CloseWatch();
+  static void OnWatchOpened(GObject* session,
+                            GAsyncResult* result,
+                            gpointer data);
+  static void OnLine(GObject* stream, GAsyncResult* result, gpointer data);
+
+  GlibLoop& m_loop;
+  PlatformOptions m_options;
+  PlatformOutlet m_outlet;
+  SoupSession* m_session;
+  SoupSession* m_watch_session;
+  // Raised with each watch, so that answers of earlier ones are told apart.
+  std::uint64_t m_generation = 0;
+  GCancellable* m_watch_cancellable = nullptr;
+  GDataInputStream* m_watch_stream = nullptr;
+  bool m_reachable = true;
+};
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/frontends/settings.h
@@ -0,0 +1,158 @@
+// The settings of the daemon: each is declared once here, as a typed constant
+// with its default, and read from an INI file that is checked whole at start.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace boragepick {
+
+template <typename Value>
+struct Setting {
+  std::string_view section;
+  std::string_view key;
+  Value default_value;
+  // Left out of the file, it is an error.
+  bool required = false;
+  std::string_view help;
+};
+
+// Whole numbers have a range.
+struct NumberSetting {
+  std::string_view section;
+  std::string_view key;
+  std::int64_t default_value = 0;
+  std::int64_t lowest = 0;
+  std::int64_t highest = 0;
+  std::string_view help;
+};
+
+using TextSetting = Setting<std::string_view>;
+using FlagSetting = Setting<bool>;
+
+namespace settings {
+
+inline constexpr TextSetting kRole{"node", "role", "", true, "router or agent"};
+inline constexpr TextSetting kVm{
+    "node", "vm", "", true,
+    "name of this VM in the platform's list; never used twice"};
+inline constexpr TextSetting kDataCentre{"node", "data_centre", "", true,
+                                         "data centre of this VM"};
+inline constexpr TextSetting kPeerEndpoint{
+    "peers", "endpoint", "", true,
+    "ip:port at which other processes of the system reach this one"};
+inline constexpr TextSetting kSeeds{"peers", "seeds", "", false,
+                                    "comma-separated ip:port of some routers, "
+                                    "asked until the list of VMs is known"};
+inline constexpr TextSetting kCurvePublicKey{
+    "peers", "curve_public_key", "", false,
+    "CURVE public key of the fleet in Z85; empty leaves messages in the clear"};
+inline constexpr TextSetting kCurveSecretKey{
+    "peers", "curve_secret_key", "", false,
+    "CURVE secret key of the fleet in Z85"};
+inline constexpr TextSetting kHttpEndpoint{
+    "http", "endpoint", "", true,
+    "ip:port for callers and operators (router), health and metrics"};
+inline constexpr NumberSetting kMaxBodyBytes{
+    "http", "max_body_bytes", 8 << 20, 1024, 1 << 30, "largest request body"};
+inline constexpr NumberSetting kDefaultPatienceMs{
+    "http",    "default_patience_ms",
+    300'000,   10,
+    3'600'000, "time for a request without a deadline header"};
+inline constexpr TextSetting kOperatorTokenSha256{
+    "http", "operator_token_sha256", "", false,
+    "SHA-256 (hex) of the operators' token; empty refuses all operators' "
+    "requests"};
+inline constexpr TextSetting kPlatformUrl{
+    "platform", "key_value_url", "", false,
+    "URL of the key-value service's JSON gateway (routers)"};
+inline constexpr TextSetting kVmListUrl{
+    "platform", "vm_list_url", "", false,
+    "URL of the platform's list of VMs (routers)"};
+inline constexpr NumberSetting kPlatformTimeoutMs{
+    "platform", "call_timeout_ms",
+    1'000,      50,
+    60'000,     "time for one call to the platform"};
+inline constexpr TextSetting kUpstreamUrl{
+    "upstream", "url", "", false,
+    "URL of the engine or service beside this agent"};
+inline constexpr TextSetting kUpstreamPool{
+    "upstream", "pool", "models", false,
+    "models for an engine, else the pool of the service"};
+inline constexpr NumberSetting kUpstreamMemoryMb{
+    "upstream", "memory_mb", 0,
+    0,          100'000'000, "memory for models (agents beside engines)"};
+inline constexpr NumberSetting kUpstreamSlots{
+    "upstream", "slots", 16,
+    1,          100'000, "requests that the upstream runs at once"};
+inline constexpr NumberSetting kUpstreamMaxWaiting{
+    "upstream", "max_waiting", 256,
+    0,          1'000'000,     "requests that wait at the agent at most"};
+inline constexpr NumberSetting kUpstreamProgressMs{
+    "upstream",
+    "progress_timeout_ms",
+    20'000,
+    100,
+    3'600'000,
+    "a started request without a sign of life for so long is given up"};
+inline constexpr NumberSetting kLoadTimeoutMs{
+    "upstream", "load_timeout_ms",
+    600'000,    100,
+    86'400'000, "a load order without an answer for so long counts as unknown"};
+inline constexpr NumberSetting kDrainGraceMs{
+    "drain", "grace_ms", 2'000,
+    0,       600'000,    "after SIGTERM new requests are taken for so long"};
+inline constexpr TextSetting kLogFile{"log", "file", "", false,
+                                      "log file; empty for standard output"};
+inline constexpr FlagSetting kLogDecisions{
+    "log", "decisions", true, false,
+    "a line for each decision about a request"};
+
+}  // namespace settings
+
+// The values of one process.
+struct DaemonSettings {
+  std::string role;
+  std::string vm;
+  std::string data_centre;
+  std::string peer_endpoint;
+  std::vector<std::string> seeds;
+  std::string curve_public_key;
+  std::string curve_secret_key;
+  std::string http_endpoint;
+  std::int64_t max_body_bytes = 0;
+  std::int64_t default_patience_ms = 0;
+  std::string operator_token_sha256;
+  std::string platform_url;
+  std::string vm_list_url;
+  std::int64_t platform_timeout_ms = 0;
+  std::string upstream_url;
+  std::string upstream_pool;
+  std::int64_t upstream_memory_mb = 0;
+  std::int64_t upstream_slots = 0;
+  std::int64_t upstream_max_waiting = 0;
+  std::int64_t upstream_progress_ms = 0;
+  std::int64_t load_timeout_ms = 0;
+  std::int64_t drain_grace_ms = 0;
+  std::string log_file;
+  bool log_decisions = true;
+};
+
+// Throws Error at Step::kSettings; the message begins with "file:line:" and
+// lists every fault found, one a line.
+DaemonSettings ParseSettings(const std::string& text, const std::string& file);
+DaemonSettings ReadSettings(const std::string& file);
+
+// A commented file with all defaults.
+std::string DefaultSettingsText();
+
+// "ip:port" taken apart. Throws Error at Step::kSettings.
+struct Endpoint {
+  std::string ip;
+  std::uint16_t port = 0;
+};
+Endpoint ParseEndpoint(const std::string& text);
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/frontends/upstream_client.cc
@@ -0,0 +1,242 @@
+#include "frontends/upstream_client.h"
+
+#include <memory>
+
+#include "common/error.h"
+#include "frontends/soup_call.h"
+#include "wire/generated/upstream.pb.h"
+#include "wire/record_codec.h"
+
+namespace boragepick {
+
+namespace {
+
+constexpr gsize kReadBytes = 32 << 10;
+constexpr unsigned kSpareConnections = 32;
+// A kept connection that was idle for longer may have gone silent, in seconds.
+constexpr unsigned kIdleSeconds = 5;
+constexpr std::uint32_t kStatusOk = 200;
+constexpr std::uint32_t kFirstClientError = 400;
+constexpr std::uint32_t kFirstServerError = 500;
+
+void SetHeader(SoupMessage* message,
+               const char* name,
+               const std::string& value) {
+  soup_message_headers_replace(soup_message_get_request_headers(message), name,
+                               value.c_str());
+}
+
+OrderResult ResultOf(const HttpReply& reply) {
+  if (reply.not_sent)
+    return OrderResult::kRefused;
+  if (!reply.answered)
+    return OrderResult::kUnknown;
+  if (reply.status == kStatusOk)
+    return OrderResult::kDone;
+  const bool refused =
+      reply.status >= kFirstClientError && reply.status < kFirstServerError;
+  return refused ? OrderResult::kRefused : OrderResult::kUnknown;
+}
+
+}  // namespace
+
+UpstreamClient::UpstreamClient(GlibLoop& /*loop*/,
+                               UpstreamOptions options,
+                               UpstreamOutlet outlet)
+    : m_options(std::move(options)),
+      m_outlet(std::move(outlet)),
+      m_session(soup_session_new_with_options(
+          "max-conns",
+          static_cast<int>(m_options.slots + kSpareConnections),
+          "max-conns-per-host",
+          static_cast<int>(m_options.slots + kSpareConnections),
+          "idle-timeout",
+          kIdleSeconds,
+          nullptr)) {}
+
+UpstreamClient::~UpstreamClient() {
+  for (auto& [number, run] : m_runs) {
+    // why: the callback of a cancelled run must not touch what is gone
+    run->client = nullptr;
+    g_cancellable_cancel(run->cancellable);
+  }
+  soup_session_abort(m_session);
+  g_object_unref(m_session);
+}
+
+void UpstreamClient::Handle(UpstreamMessage message) {
+  std::visit([this](const auto& held) { On(held); }, message);
+}
+
+// --- Runs ---
+
+void UpstreamClient::On(const StartRun& message) {
+  const RunRequest& request = message.request;
+  const std::string method(kMethodNames.Name(request.method));
+  const std::string url = m_options.url + request.path;
+  SoupMessage* soup_message = soup_message_new(method.c_str(), url.c_str());
+  if (soup_message == nullptr) {
+    m_outlet(UpstreamEnded{.run = message.run,
+                           .end = UpstreamEnd::kNotSent,
+                           .detail = "the path can't be sent"});
+    return;
+  }
+  if (!request.body.empty()) {
+    GBytes* bytes = g_bytes_new(request.body.data(), request.body.size());
+    soup_message_set_request_body_from_bytes(
+        soup_message, request.content_type.c_str(), bytes);
+    g_bytes_unref(bytes);
+  }
+  if (m_options.engine) {
+    SetHeader(soup_message, "X-Cache-Salt", request.cache_salt);
+    SetHeader(soup_message, "X-Priority",
+              std::string(kPriorityNames.Name(request.priority)));
+    if (request.resume_after > 0)
+      SetHeader(soup_message, "X-Resume-After",
+                std::to_string(request.resume_after));
+    soup_message_add_flags(soup_message, SOUP_MESSAGE_IDEMPOTENT);
+  } else {
+    soup_message_add_flags(soup_message, SOUP_MESSAGE_NEW_CONNECTION);
+  }
+  soup_message_add_flags(soup_message, SOUP_MESSAGE_NO_REDIRECT);
+  auto* run = new Run{.client = this,
+                      .number = message.run,
+                      .message = soup_message,
+                      .cancellable = g_cancellable_new()};
+  m_runs[message.run] = run;
+  soup_session_send_async(m_session, soup_message, G_PRIORITY_DEFAULT,
+                          run->cancellable, OnHead, run);
+}
+
+void UpstreamClient::OnHead(GObject* session,
+                            GAsyncResult* result,
+                            gpointer data) {
+  auto* run = static_cast<Run*>(data);
+  GError* error = nullptr;
+  run->stream = soup_session_send_finish(SOUP_SESSION(session), result, &error);
+  if (run->stream == nullptr) {
+    const bool not_sent = MeansNotSent(error);
+    const std::string detail = error->message;
+    g_error_free(error);
+    if (run->client != nullptr)
+      run->client->End(
+          run, not_sent ? UpstreamEnd::kNotSent : UpstreamEnd::kFailed, detail);
+    return;
+  }
+  if (run->client == nullptr)
+    return;
+  const char* type = soup_message_headers_get_one(
+      soup_message_get_response_headers(run->message), "Content-Type");
+  run->client->m_outlet(
+      UpstreamHead{.run = run->number,
+                   .head = {.status = soup_message_get_status(run->message),
+                            .content_type = type == nullptr ? "" : type}});
+  run->client->ReadMore(run);
+}
+
+void UpstreamClient::ReadMore(Run* run) {
+  g_input_stream_read_bytes_async(run->stream, kReadBytes, G_PRIORITY_DEFAULT,
+                                  run->cancellable, OnBytes, run);
+}
+
+void UpstreamClient::OnBytes(GObject* stream,
+                             GAsyncResult* result,
+                             gpointer data) {
+  auto* run = static_cast<Run*>(data);
+  GError* error = nullptr;
+  GBytes* bytes =
+      g_input_stream_read_bytes_finish(G_INPUT_STREAM(stream), result, &error);
+  const std::string detail = error == nullptr ? "" : error->message;
+  g_clear_error(&error);
+  std::string text;
+  if (bytes != nullptr) {
+    gsize size = 0;
+    const auto* begin =
+        static_cast<const char*>(g_bytes_get_data(bytes, &size));
+    if (size > 0)
+      text.assign(begin, size);
+    g_bytes_unref(bytes);
+  }
+  if (run->client == nullptr)
+    return;
+  if (bytes == nullptr) {
+    run->client->End(run, UpstreamEnd::kFailed, detail);
+    return;
+  }
+  if (text.empty()) {
+    run->client->End(run, UpstreamEnd::kComplete, "");
+    return;
+  }
+  run->client->m_outlet(
+      UpstreamBytes{.run = run->number, .bytes = std::move(text)});
+  run->client->ReadMore(run);
+}
+
+void UpstreamClient::End(Run* run, UpstreamEnd end, const std::string& detail) {
+  m_runs.erase(run->number);
+  m_outlet(UpstreamEnded{.run = run->number, .end = end, .detail = detail});
+  g_clear_object(&run->stream);
+  g_object_unref(run->message);
+  g_object_unref(run->cancellable);
+  delete run;
+}
+
+void UpstreamClient::On(const CancelUpstreamRun& message) {
+  const auto found = m_runs.find(message.run);
+  if (found != m_runs.end())
+    g_cancellable_cancel(found->second->cancellable);
+}
+
+// --- Orders ---
+
+void UpstreamClient::On(const SendOrder& message) {
+  wire::upstream::Order order;
+  order.set_name(message.name);
+  order.set_weights(message.weights);
+  order.set_base_model(message.base_model);
+  order.set_memory_mb(message.memory_mb);
+  order.set_fence(message.fence);
+  const std::string path =
+      "/orders/" + std::string(kOrderKindNames.Name(message.kind));
+  CallHttp(
+      m_session,
+      {.url = m_options.url + path,
+       .body = ToJson(order),
+       .timeout_ms = m_options.load_timeout_ms},
+      [this, fence = message.fence](const HttpReply& reply) {
+        m_outlet(OrderAnswered{
+            .fence = fence,
+            .result = ResultOf(reply),
+            .detail = reply.answered ? "status " + std::to_string(reply.status)
+                                     : reply.detail});
+      });
+}
+
+void UpstreamClient::On(const AskInventory& message) {
+  CallHttp(m_session,
+           {.method = "GET",
+            .url = m_options.url + "/inventory",
+            .timeout_ms = m_options.inventory_timeout_ms},
+           [this, fence = message.fence](const HttpReply& reply) {
+             InventoryReceived received{.asked_at_fence = fence};
+             try {
+               if (reply.answered && reply.status == kStatusOk) {
+                 wire::upstream::Inventory inventory;
+                 FromJson(reply.body, inventory, UnknownFields::kIgnore,
+                          Step::kCallUpstream, m_options.url);
+                 received.answered = true;
+                 received.engine_run = inventory.run();
+                 for (const auto& unit : inventory.units())
+                   received.items.push_back({.name = unit.name(),
+                                             .memory_mb = unit.memory_mb(),
+                                             .loaded = unit.loaded()});
+               }
+             } catch (const Error&) {
+               // why: an account that can't be read is none
+               received.answered = false;
+             }
+             m_outlet(std::move(received));
+           });
+}
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/frontends/upstream_client.h
@@ -0,0 +1,69 @@
+// The task that talks to the upstream beside an agent: runs requests, gives
+// orders, asks what is loaded. It decides nothing.
+#pragma once
+
+#include <libsoup/soup.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <variant>
+
+#include "core/agent/agent_messages.h"
+#include "frontends/glib_task.h"
+
+namespace boragepick {
+
+using UpstreamMessage =
+    std::variant<StartRun, CancelUpstreamRun, SendOrder, AskInventory>;
+
+struct UpstreamOptions {
+  std::string url;
+  // An engine may get a request again when a kept connection was closed; a
+  // plain service never does.
+  bool engine = false;
+  unsigned slots = 16;
+  unsigned load_timeout_ms = 600'000;
+  unsigned inventory_timeout_ms = 1'000;
+};
+
+using UpstreamOutlet = std::function<void(AgentEvent)>;
+
+class UpstreamClient {
+ public:
+  UpstreamClient(GlibLoop& loop,
+                 UpstreamOptions options,
+                 UpstreamOutlet outlet);
+  ~UpstreamClient();
+  UpstreamClient(const UpstreamClient&) = delete;
+  UpstreamClient& operator=(const UpstreamClient&) = delete;
+
+  void Handle(UpstreamMessage message);
+
+ private:
+  struct Run {
+    UpstreamClient* client = nullptr;
+    RunNumber number = 0;
+    SoupMessage* message = nullptr;
+    GCancellable* cancellable = nullptr;
+    GInputStream* stream = nullptr;
+    bool head_seen = false;
+  };
+
+  void On(const StartRun& message);
+  void On(const CancelUpstreamRun& message);
+  void On(const SendOrder& message);
+  void On(const AskInventory& message);
+
+  static void OnHead(GObject* session, GAsyncResult* result, gpointer data);
+  static void OnBytes(GObject* stream, GAsyncResult* result, gpointer data);
+  void ReadMore(Run* run);
+  void End(Run* run, UpstreamEnd end, const std::string& detail);
+
+  UpstreamOptions m_options;
+  UpstreamOutlet m_outlet;
+  SoupSession* m_session;
+  std::map<RunNumber, Run*> m_runs;
+};
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/tools/cli/client.cc
@@ -0,0 +1,61 @@
+#include "tools/cli/client.h"
+
+#include <array>
+#include <string_view>
+
+#include "common/error.h"
+
+namespace boragepick {
+
+Client::Client(unsigned timeout_seconds)
+    : m_session(
+          soup_session_new_with_options("timeout", timeout_seconds, nullptr)) {}
+
+Client::~Client() {
+  g_object_unref(m_session);
+}
+
+ClientReply Client::Call(const ClientCall& call) {
+  ClientReply reply;
+  reply.status =
+      Stream(call, [&](std::string_view bytes) { reply.body += bytes; });
+  return reply;
+}
+
+unsigned Client::Stream(const ClientCall& call,
+                        const std::function<void(std::string_view)>& on_bytes) {
+  SoupMessage* message =
+      soup_message_new(call.method.c_str(), call.url.c_str());
+  if (message == nullptr)
+    throw Error(Step::kCallRouter, call.url, "expected an http:// URL");
+  for (const ClientHeader& header : call.headers) {
+    soup_message_headers_replace(soup_message_get_request_headers(message),
+                                 header.name.c_str(), header.value.c_str());
+  }
+  if (!call.body.empty()) {
+    GBytes* bytes = g_bytes_new(call.body.data(), call.body.size());
+    soup_message_set_request_body_from_bytes(message, "application/json",
+                                             bytes);
+    g_bytes_unref(bytes);
+  }
+  GError* error = nullptr;
+  GInputStream* stream = soup_session_send(m_session, message, nullptr, &error);
+  std::array<char, 16384> buffer;
+  gssize got = stream == nullptr ? -1 : 1;
+  while (got > 0) {
+    got = g_input_stream_read(stream, buffer.data(), buffer.size(), nullptr,
+                              &error);
+    if (got > 0)
+      on_bytes(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
+  }
+  const unsigned status = soup_message_get_status(message);
+  g_clear_object(&stream);
+  g_object_unref(message);
+  if (got == 0)
+    return status;
+  const std::string reason = error == nullptr ? "no answer" : error->message;
+  g_clear_error(&error);
+  throw Error(Step::kCallRouter, call.url, reason);
+}
+
+}  // namespace boragepick
--- /dev/null
+++ b/source/tools/standin/engine_standin.cc
@@ -0,0 +1,284 @@
+// Stands for a model engine: cold loads, streamed tokens, orders with fencing
+// numbers, and a crash on a marked prompt.
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "common/error.h"
+#include "common/hashing.h"
+#include "frontends/soup_call.h"
+#include "tools/standin/standin_server.h"
+#include "tools/standin/standins.h"
+#include "wire/generated/boragepick.pb.h"
+#include "wire/generated/upstream.pb.h"
+#include "wire/record_codec.h"
+
+namespace boragepick::standin {
+
+namespace {
+
+constexpr std::string_view kCrashMark = "CRASH-ENGINE";
+constexpr std::int64_t kDefaultTokens = 16;
+
+// The word at `index` of the answer to a prompt: the same on every engine, so
+// that whoever reads it can check that it is whole and its own.
+std::string TokenAt(const std::string& body, std::int64_t index) {
+  const std::uint64_t hash =
+      StableHash(body, static_cast<std::uint64_t>(index));
+  return "t" + std::to_string(hash % 100'000);
+}
+
+struct Generation {
+  std::shared_ptr<Deferred> answer;
+  std::string body;
+  bool stream = false;
+  std::int64_t next = 0;
+  std::int64_t count = 0;
+};
+
+class Engine {
+ public:
+  Engine(GlibLoop& loop, StandinOptions options)
+      : m_loop(loop),
+        m_options(std::move(options)),
+        m_session(soup_session_new()),
+        m_server(loop, m_options.endpoint, [this](const Request& r) {
+          On(r);
+        }) {}
+  ~Engine() { g_object_unref(m_session); }
+  Engine(const Engine&) = delete;
+  Engine& operator=(const Engine&) = delete;
+
+ private:
+  void On(const Request& request) {
+    if (request.path == "/stats") {
+      RespondStats(request);
+      return;
+    }
+    if (m_down) {
+      Cut(request.message);
+      return;
+    }
+    if (m_server.faults().Get("freeze") != 0) {
+      // why: a silent connection is open and answers nothing
+      m_frozen.push_back(std::make_shared<Deferred>(request.message));
+      return;
+    }
+    if (request.path == "/inventory")
+      RespondInventory(request);
+    else if (request.path.starts_with("/orders/"))
+      TakeOrder(request);
+    else if (request.path == "/v1/chat/completions")
+      Generate(request);
+    else
+      Respond(request.message, SOUP_STATUS_NOT_FOUND, "{}\n");
+  }
+
+  // --- Requests ---
+
+  void Generate(const Request& request) {
+    wire::ChatRequest chat;
+    FromJson(request.body, chat, UnknownFields::kIgnore, Step::kDecodeDocument,
+             "engine");
+    if (!m_loaded.contains(chat.model())) {
+      Respond(request.message, SOUP_STATUS_NOT_FOUND,
+              "{\"error\":\"model not loaded\"}\n");
+      return;
+    }
+    ++m_runs;
+    if (request.body.find(kCrashMark) != std::string::npos) {
+      Crash();
+      return;
+    }
+    auto generation = std::make_shared<Generation>();
+    generation->answer = std::make_shared<Deferred>(request.message);
+    generation->body = request.body;
+    generation->stream = chat.stream();
+    generation->count =
+        chat.max_tokens() > 0 ? chat.max_tokens() : kDefaultTokens;
+    const std::string resume = request.Header("X-Resume-After");
+    generation->next = resume.empty() ? 0 : std::atoll(resume.c_str());
+    m_generations.insert(generation);
+    if (generation->stream)
+      generation->answer->StartStream("text/event-stream");
+    Continue(generation);
+  }
+
+  void Continue(const std::shared_ptr<Generation>& generation) {
+    const bool over =
+        generation->answer->gone() || !m_generations.contains(generation);
+    if (over) {
+      m_generations.erase(generation);
+      return;
+    }
+    if (m_server.faults().Get("freeze") != 0)
+      return;
+    const std::int64_t cut_after = m_server.faults().Get("cut_after");
+    if (cut_after > 0 && generation->next >= cut_after) {
+      m_server.faults().Set("cut_after", 0);
+      generation->answer->Cut();
+      m_generations.erase(generation);
+      return;
+    }
+    if (m_options.token_ms > 0 && generation->next < generation->count) {
+      WriteTokens(*generation, 1);
+      m_loop.After(m_options.token_ms,
+                   [this, generation] { Continue(generation); });
+      return;
+    }
+    WriteTokens(*generation, generation->count - generation->next);
+    Finish(*generation);
+    m_generations.erase(generation);
+  }
+
+  static void WriteTokens(Generation& generation, std::int64_t count) {
+    std::string events;
+    for (std::int64_t i = 0; i < count; ++i) {
+      if (generation.stream)
+        events += "data: {\"choices\":[{\"delta\":{\"content\":\"" +
+                  TokenAt(generation.body, generation.next) + " \"}}]}\n\n";
+      ++generation.next;
+    }
+    generation.answer->Write(events);
+  }
+
+  static void Finish(Generation& generation) {
+    if (generation.stream) {
+      generation.answer->Write("data: [DONE]\n\n");
+      generation.answer->End();
+      return;
+    }
+    std::string text;
+    for (std::int64_t i = 0; i < generation.count; ++i)
+      text += TokenAt(generation.body, i) + " ";
+    generation.answer->Respond(
+        SOUP_STATUS_OK,
+        "{\"choices\":[{\"message\":{\"content\":\"" + text + "\"}}]}\n");
+  }
+
+  // All connections break and the memory is empty; a new run begins later.
+  void Crash() {
+    ++m_crashes;
+    ++m_run;
+    m_loaded.clear();
+    m_taken_mb = 0;
+    m_down = true;
+    for (const auto& generation : m_generations)
+      generation->answer->Cut();
+    m_generations.clear();
+    m_loop.After(m_options.crash_ms, [this] { m_down = false; });
+  }
+
+  // --- Orders ---
+
+  void TakeOrder(const Request& request) {
+    wire::upstream::Order order;
+    FromJson(request.body, order, UnknownFields::kIgnore, Step::kDecodeDocument,
+             "engine");
+    const bool old = order.fence() < m_last_fence;
+    if (old && !m_options.ignore_fences) {
+      Respond(request.message, SOUP_STATUS_CONFLICT,
+              "{\"error\":\"old fence\"}\n");
+      return;
+    }
+    m_last_fence = std::max(m_last_fence, order.fence());
+    if (request.path.starts_with("/orders/unload")) {
+      Unload(order.name());
+      Respond(request.message, SOUP_STATUS_OK, "{}\n");
+      return;
+    }
+    const bool fits = m_taken_mb + order.memory_mb() <= m_options.memory_mb;
+    if (!fits || m_server.faults().Get("refuse_loads") != 0) {
+      m_overcommits += fits ? 0 : 1;
+      Respond(request.message, SOUP_STATUS_CONFLICT,
+              "{\"error\":\"no memory\"}\n");
+      return;
+    }
+    m_taken_mb += order.memory_mb();
+    m_peak_mb = std::max(m_peak_mb, m_taken_mb);
+    ++m_loads[order.name()];
+    Load(order, std::make_shared<Deferred>(request.message));
+  }
+
+  void Load(const wire::upstream::Order& order,
+            const std::shared_ptr<Deferred>& answer) {
+    const auto done = [this, order, answer, run = m_run] {
+      if (run != m_run)
+        return;
+      m_loaded[order.name()] = order.memory_mb();
+      answer->Respond(SOUP_STATUS_OK, "{}\n");
+    };
+    if (m_options.store_url.empty()) {
+      m_loop.After(m_options.load_ms, done);
+      return;
+    }
+    constexpr unsigned kFetchTimeoutMs = 120'000;
+    CallHttp(m_session,
+             {.url = m_options.store_url + "/fetch",
+              .body = "{}",
+              .timeout_ms = kFetchTimeoutMs},
+             [done](const HttpReply& /*reply*/) { done(); });
+  }
+
+  void Unload(const std::string& name) {
+    const auto found = m_loaded.find(name);
+    if (found == m_loaded.end())
+      return;
+    m_taken_mb -= found->second;
+    m_loaded.erase(found);
+  }
+
+  void RespondInventory(const Request& request) {
+    wire::upstream::Inventory inventory;
+    inventory.set_run(std::to_string(m_run));
+    for (const auto& [name, memory_mb] : m_loaded) {
+      auto& unit = *inventory.add_units();
+      unit.set_name(name);
+      unit.set_memory_mb(memory_mb);
+      unit.set_loaded(true);
+    }
+    Respond(request.message, SOUP_STATUS_OK, ToJson(inventory));
+  }
+
+  void RespondStats(const Request& request) {
+    std::string json = "{\"runs\":" + std::to_string(m_runs) +
+                       ",\"crashes\":" + std::to_string(m_crashes) +
+                       ",\"peak_mb\":" + std::to_string(m_peak_mb) +
+                       ",\"overcommits\":" + std::to_string(m_overcommits) +
+                       ",\"running\":" + std::to_string(m_generations.size());
+    std::int64_t loads = 0;
+    for (const auto& [name, count] : m_loads)
+      loads += count;
+    json += ",\"loads\":" + std::to_string(loads) +
+            ",\"loaded\":" + std::to_string(m_loaded.size());
+    Respond(request.message, SOUP_STATUS_OK, json + "}\n");
+  }
+
+  GlibLoop& m_loop;
+  StandinOptions m_options;
+  SoupSession* m_session;
+  std::map<std::string, std::uint64_t> m_loaded;
+  std::map<std::string, std::int64_t> m_loads;
+  std::set<std::shared_ptr<Generation>> m_generations;
+  std::vector<std::shared_ptr<Deferred>> m_frozen;
+  std::uint64_t m_taken_mb = 0;
+  std::uint64_t m_peak_mb = 0;
+  std::uint64_t m_last_fence = 0;
+  std::int64_t m_overcommits = 0;
+  std::int64_t m_runs = 0;
+  std::int64_t m_crashes = 0;
+  std::int64_t m_run = 1;
+  bool m_down = false;
+  Server m_server;
+};
+
+}  // namespace
+
+void RunEngine(GlibLoop& loop, const StandinOptions& options) {
+  Engine engine(loop, options);
+  loop.Run();
+}
+
+}  // namespace boragepick::standin
--- a/source/wire/peer_codec.cc
+++ b/source/wire/peer_codec.cc
@@ -136,7 +136,8 @@
                      .feed_revision = in.feed_revision()};
   for (const wire::ResidentUnit& unit : in.units()) {
     report.units.push_back(
-        {.name = unit.name(), .residency = CheckedEnum(unit.residency(), kResidencyNames)});
+        {.name = unit.name(),
+         .residency = CheckedEnum(unit.residency(), kResidencyNames)});
   }
   return report;
 }
@@ -208,7 +209,8 @@
 }
 
 FeedUpdate Get(wire::FeedUpdate& in) {
-  FeedUpdate update{.snapshot = in.snapshot(), .base = in.base(), .revision = in.revision()};
+  FeedUpdate update{
+      .snapshot = in.snapshot(), .base = in.base(), .revision = in.revision()};
   for (const wire::FeedItem& item : in.items())
     update.items.push_back(FromWire(item));
   return update;
@@ -266,7 +268,9 @@
 }
 
 OnceClaim Get(wire::OnceClaim& in) {
-  return {.claim_id = in.claim_id(), .request_hash = in.request_hash(), .token = in.token()};
+  return {.claim_id = in.claim_id(),
+          .request_hash = in.request_hash(),
+          .token = in.token()};
 }
 
 void Put(const OnceVerdict& message, wire::Envelope& envelope) {
@@ -315,7 +319,9 @@
 }
 
 CrashNotice Get(wire::CrashNotice& in) {
-  return {.fingerprint = in.fingerprint(), .crash = in.crash(), .cleared = in.cleared()};
+  return {.fingerprint = in.fingerprint(),
+          .crash = in.crash(),
+          .cleared = in.cleared()};
 }
 
 void Put(const SlotAsk& message, wire::Envelope& envelope) {
@@ -395,7 +401,8 @@
 
 }  // namespace
 
-std::string EncodePeerFrame(const PeerSender& from, const PeerMessage& message) {
+std::string EncodePeerFrame(const PeerSender& from,
+                            const PeerMessage& message) {
   wire::Envelope envelope;
   envelope.set_version(kWireVersion);
   envelope.set_vm(from.vm);
@@ -411,8 +418,8 @@
     if (!envelope.ParseFromArray(frame.data(), static_cast<int>(frame.size())))
       Reject("a frame that is cut or foreign");
     if (envelope.version() != kWireVersion) {
-      Reject("expected wire version " + std::to_string(kWireVersion) + ", found " +
-             std::to_string(envelope.version()));
+      Reject("expected wire version " + std::to_string(kWireVersion) +
+             ", found " + std::to_string(envelope.version()));
     }
     if (envelope.vm().empty() || envelope.endpoint().empty())
       Reject("a frame without its sender");
--- a/source/wire/peer_codec.h
+++ b/source/wire/peer_codec.h
@@ -1,4 +1,5 @@
-// The encoding of messages between processes, as protobuf. Nothing is decided here.
+// The encoding of messages between processes, as protobuf. Nothing is decided
+// here.
 #pragma once
 
 #include <string>
@@ -18,8 +19,8 @@
 
 std::string EncodePeerFrame(const PeerSender& from, const PeerMessage& message);
 
-// Throws Error at Step::kDecodePeerFrame for a frame that is cut, foreign or out of range; `peer`
-// names where it came from.
+// Throws Error at Step::kDecodePeerFrame for a frame that is cut, foreign or
+// out of range; `peer` names where it came from.
 PeerFrame DecodePeerFrame(std::string_view frame, const std::string& peer);
 
 }  // namespace boragepick
--- a/source/wire/record_codec.cc
+++ b/source/wire/record_codec.cc
@@ -25,10 +25,11 @@
 PermitRecord StoredFromWire(const wire::PermitRecord& in, Revision revision) {
   PermitRecord record{.model = in.model(), .revision = revision};
   for (const wire::Permit& permit : in.permits()) {
-    record.permits.push_back(
-        {.vm = permit.vm(),
-         .listed_version = permit.listed_version(),
-         .state = permit.revoked() ? PermitState::kRevoked : PermitState::kActive});
+    record.permits.push_back({.vm = permit.vm(),
+                              .listed_version = permit.listed_version(),
+                              .state = permit.revoked()
+                                           ? PermitState::kRevoked
+                                           : PermitState::kActive});
   }
   return record;
 }
@@ -45,7 +46,8 @@
 SharePage StoredFromWire(const wire::SharePage& in, Revision revision) {
   SharePage page{.page = in.page(), .revision = revision};
   for (const wire::ShareHolder& holder : in.holders())
-    page.holders.push_back({.process = FromWire(holder.process()), .units = holder.units()});
+    page.holders.push_back(
+        {.process = FromWire(holder.process()), .units = holder.units()});
   return page;
 }
 
@@ -59,7 +61,8 @@
 Resource StoredFromWire(const wire::Resource& in, Revision revision) {
   const std::optional<ResourceSpec> spec = SpecFromWire(in);
   if (!spec)
-    throw Error(Step::kDecodeDocument, "", "a resource without a spec of a known kind");
+    throw Error(Step::kDecodeDocument, "",
+                "a resource without a spec of a known kind");
   return {.name = in.name(),
           .spec = *spec,
           .resource_version = revision,
@@ -78,7 +81,8 @@
 }
 
 std::string ShareKey(std::uint32_t page) {
-  return std::string(kFeedPrefix) + std::string(kSharePart) + std::to_string(page);
+  return std::string(kFeedPrefix) + std::string(kSharePart) +
+         std::to_string(page);
 }
 
 std::string OnceKey(std::uint32_t page) {
@@ -92,7 +96,9 @@
 }
 
 ProcessId FromWire(const wire::ProcessId& in) {
-  return {.vm = in.vm(), .incarnation = in.incarnation(), .listed_version = in.listed_version()};
+  return {.vm = in.vm(),
+          .incarnation = in.incarnation(),
+          .listed_version = in.listed_version()};
 }
 
 void ToWire(const KeptAnswer& answer, wire::KeptAnswer& out) {
@@ -102,7 +108,9 @@
 }
 
 KeptAnswer FromWire(const wire::KeptAnswer& in) {
-  return {.status = in.status(), .content_type = in.content_type(), .body = in.body()};
+  return {.status = in.status(),
+          .content_type = in.content_type(),
+          .body = in.body()};
 }
 
 void ToWire(const FeedItem& item, wire::FeedItem& out) {
@@ -117,7 +125,8 @@
 }
 
 FeedItem FromWire(const wire::FeedItem& in) {
-  FeedItem item{.key = in.key(), .revision = in.revision(), .value = DeletedItem{}};
+  FeedItem item{
+      .key = in.key(), .revision = in.revision(), .value = DeletedItem{}};
   if (in.has_resource())
     item.value = StoredFromWire(in.resource(), in.revision());
   else if (in.has_permits())
@@ -147,7 +156,8 @@
     const std::optional<NodeRole> role = kNodeRoleNames.Find(entry.role());
     const std::optional<VmState> state = kVmStateNames.Find(entry.state());
     if (!role || !state)
-      throw Error(Step::kDecodePlatformReply, entry.vm(), "unknown role or state of a VM");
+      throw Error(Step::kDecodePlatformReply, entry.vm(),
+                  "unknown role or state of a VM");
     list.entries.push_back({.vm = entry.vm(),
                             .data_centre = entry.data_centre(),
                             .role = *role,
@@ -175,14 +185,16 @@
     out.mutable_adapter()->set_memory_mb(adapter->memory_mb);
   } else if (const auto* route = std::get_if<RouteSpec>(&spec)) {
     out.mutable_route()->set_path_prefix(route->path_prefix);
-    out.mutable_route()->set_target(std::string(kRouteTargetNames.Name(route->target)));
+    out.mutable_route()->set_target(
+        std::string(kRouteTargetNames.Name(route->target)));
     out.mutable_route()->set_pool(route->pool);
     out.mutable_route()->set_idempotent(route->idempotent);
     out.mutable_route()->set_open(route->open);
     for (const std::string& team : route->teams)
       out.mutable_route()->add_teams(team);
   } else if (const auto* team = std::get_if<TeamSpec>(&spec)) {
-    out.mutable_team()->set_rate_tokens_per_second(team->rate_tokens_per_second);
+    out.mutable_team()->set_rate_tokens_per_second(
+        team->rate_tokens_per_second);
     out.mutable_team()->set_burst_tokens(team->burst_tokens);
   } else if (const auto* key = std::get_if<KeySpec>(&spec)) {
     out.mutable_key()->set_team(key->team);
@@ -211,22 +223,26 @@
                        .memory_mb = in.adapter().memory_mb()};
   }
   if (in.has_route()) {
-    const std::string target = in.route().target().empty() ? "models" : in.route().target();
+    const std::string target =
+        in.route().target().empty() ? "models" : in.route().target();
     const std::optional<RouteTarget> found = kRouteTargetNames.Find(target);
     if (!found) {
-      throw Error(Step::kDecodeDocument, "",
-                  "spec.target: expected one of " + kRouteTargetNames.Choices());
+      throw Error(
+          Step::kDecodeDocument, "",
+          "spec.target: expected one of " + kRouteTargetNames.Choices());
     }
-    return RouteSpec{.path_prefix = in.route().path_prefix(),
-                     .target = *found,
-                     .pool = in.route().pool(),
-                     .idempotent = in.route().idempotent(),
-                     .open = in.route().open(),
-                     .teams = {in.route().teams().begin(), in.route().teams().end()}};
+    return RouteSpec{
+        .path_prefix = in.route().path_prefix(),
+        .target = *found,
+        .pool = in.route().pool(),
+        .idempotent = in.route().idempotent(),
+        .open = in.route().open(),
+        .teams = {in.route().teams().begin(), in.route().teams().end()}};
   }
   if (in.has_team()) {
-    return TeamSpec{.rate_tokens_per_second = in.team().rate_tokens_per_second(),
-                    .burst_tokens = in.team().burst_tokens()};
+    return TeamSpec{
+        .rate_tokens_per_second = in.team().rate_tokens_per_second(),
+        .burst_tokens = in.team().burst_tokens()};
   }
   if (in.has_key())
     return KeySpec{.team = in.key().team(), .sha256 = in.key().sha256()};
@@ -234,15 +250,18 @@
 }
 
 template void SpecToWire<wire::Resource>(const ResourceSpec&, wire::Resource&);
-template void SpecToWire<wire::ResourceDocument>(const ResourceSpec&, wire::ResourceDocument&);
-template std::optional<ResourceSpec> SpecFromWire<wire::Resource>(const wire::Resource&);
+template void SpecToWire<wire::ResourceDocument>(const ResourceSpec&,
+                                                 wire::ResourceDocument&);
+template std::optional<ResourceSpec> SpecFromWire<wire::Resource>(
+    const wire::Resource&);
 template std::optional<ResourceSpec> SpecFromWire<wire::ResourceDocument>(
     const wire::ResourceDocument&);
 
 std::string EncodeValue(const Resource& resource) {
   wire::Resource out;
   ToWire(resource, out);
-  // why: the version is the service's own revision; a stored copy could only disagree
+  // why: the version is the service's own revision; a stored copy could only
+  // disagree
   out.clear_resource_version();
   return ToJson(out);
 }
@@ -279,18 +298,23 @@
   return out.SerializeAsString();
 }
 
-FeedItem DecodeFeedValue(const std::string& key, const std::string& value, Revision revision) {
+FeedItem DecodeFeedValue(const std::string& key,
+                         const std::string& value,
+                         Revision revision) {
   FeedItem item{.key = key, .revision = revision, .value = DeletedItem{}};
-  const std::string_view rest = std::string_view(key).substr(std::string_view(kFeedPrefix).size());
+  const std::string_view rest =
+      std::string_view(key).substr(std::string_view(kFeedPrefix).size());
   if (rest.starts_with(kResourcePart)) {
     item.value = DecodeResource(value, revision);
   } else if (rest.starts_with(kPermitPart)) {
     wire::PermitRecord record;
-    FromJson(value, record, UnknownFields::kIgnore, Step::kDecodePlatformReply, key);
+    FromJson(value, record, UnknownFields::kIgnore, Step::kDecodePlatformReply,
+             key);
     item.value = StoredFromWire(record, revision);
   } else if (rest.starts_with(kSharePart)) {
     wire::SharePage page;
-    FromJson(value, page, UnknownFields::kIgnore, Step::kDecodePlatformReply, key);
+    FromJson(value, page, UnknownFields::kIgnore, Step::kDecodePlatformReply,
+             key);
     item.value = StoredFromWire(page, revision);
   } else {
     throw Error(Step::kDecodePlatformReply, key, "a key of no known kind");
@@ -300,28 +324,32 @@
 
 Resource DecodeResource(const std::string& value, Revision revision) {
   wire::Resource resource;
-  FromJson(value, resource, UnknownFields::kIgnore, Step::kDecodePlatformReply, "resource");
+  FromJson(value, resource, UnknownFields::kIgnore, Step::kDecodePlatformReply,
+           "resource");
   return StoredFromWire(resource, revision);
 }
 
 OncePage DecodeOncePage(const std::string& value, Revision revision) {
   wire::OncePage in;
   if (!in.ParseFromString(value))
-    throw Error(Step::kDecodePlatformReply, "once page", "expected a page of claims");
+    throw Error(Step::kDecodePlatformReply, "once page",
+                "expected a page of claims");
   OncePage page{.page = in.page(),
                 .revision = revision,
                 .owner = FromWire(in.owner()),
                 .last_order = in.last_order()};
   for (const wire::OnceEntry& entry : in.entries()) {
     if (entry.state() >= kClaimStateNames.rows.size())
-      throw Error(Step::kDecodePlatformReply, "once page", "unknown state of a claim");
-    page.entries[entry.claim_id()] = {.state = static_cast<ClaimState>(entry.state()),
-                                      .request_hash = entry.request_hash(),
-                                      .runner = FromWire(entry.runner()),
-                                      .token = entry.token(),
-                                      .answer_kept = entry.answer_kept(),
-                                      .answer = FromWire(entry.answer()),
-                                      .order = entry.order()};
+      throw Error(Step::kDecodePlatformReply, "once page",
+                  "unknown state of a claim");
+    page.entries[entry.claim_id()] = {
+        .state = static_cast<ClaimState>(entry.state()),
+        .request_hash = entry.request_hash(),
+        .runner = FromWire(entry.runner()),
+        .token = entry.token(),
+        .answer_kept = entry.answer_kept(),
+        .answer = FromWire(entry.answer()),
+        .order = entry.order()};
   }
   return page;
 }
@@ -331,7 +359,8 @@
   options.preserve_proto_field_names = true;
   options.always_print_primitive_fields = true;
   std::string json;
-  const auto status = google::protobuf::util::MessageToJsonString(message, &json, options);
+  const auto status =
+      google::protobuf::util::MessageToJsonString(message, &json, options);
   if (!status.ok())
     throw Error(Step::kDecodeDocument, "", status.ToString());
   return json;
--- a/source/wire/record_codec.h
+++ b/source/wire/record_codec.h
@@ -1,5 +1,5 @@
-// The encoding of resources and records: to and from their protobuf form, and as the values and
-// keys of the platform's key-value service.
+// The encoding of resources and records: to and from their protobuf form, and
+// as the values and keys of the platform's key-value service.
 #pragma once
 
 #include <cstdint>
@@ -15,7 +15,8 @@
 
 namespace boragepick {
 
-// Everything that the feed carries stands under this prefix; other records stand outside it.
+// Everything that the feed carries stands under this prefix; other records
+// stand outside it.
 inline constexpr const char* kFeedPrefix = "/boragepick/feed/";
 inline constexpr const char* kOncePrefix = "/boragepick/once/";
 
@@ -36,7 +37,8 @@
 // Works on wire::Resource and wire::ResourceDocument alike.
 template <typename Message>
 void SpecToWire(const ResourceSpec& spec, Message& out);
-// Nothing when the message holds no spec. Throws Error at Step::kDecodeDocument.
+// Nothing when the message holds no spec. Throws Error at
+// Step::kDecodeDocument.
 template <typename Message>
 std::optional<ResourceSpec> SpecFromWire(const Message& in);
 
@@ -48,7 +50,9 @@
 std::string EncodeValue(const OncePage& page);
 
 // Throws Error at Step::kDecodePlatformReply.
-FeedItem DecodeFeedValue(const std::string& key, const std::string& value, Revision revision);
+FeedItem DecodeFeedValue(const std::string& key,
+                         const std::string& value,
+                         Revision revision);
 Resource DecodeResource(const std::string& value, Revision revision);
 OncePage DecodeOncePage(const std::string& value, Revision revision);
 
