--- a/source/common/time.h
+++ b/source/common/time.h
@@ -14,6 +14,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock, duration>;
+  // NOLINTNEXTLINE(readability-identifier-naming): the standard names it
   static constexpr bool is_steady = true;
 };
 
--- a/source/core/agent/run_desk.cc
+++ b/source/core/agent/run_desk.cc
@@ -334,9 +334,9 @@
         std::ranges::any_of(record.permits, [&](const Permit& permit) {
           return permit.vm == self && permit.state == PermitState::kRevoked;
         });
-    const bool held = std::ranges::any_of(
-        report.units,
-        [&](const ResidentUnit& unit) { return unit.name == model; });
+    const bool held =
+        std::ranges::find(report.units, model, &ResidentUnit::name) !=
+        report.units.end();
     if (!revoked || held || !m_units.InventorySeen())
       continue;
     const std::vector<std::string> planners =
--- a/source/core/config/config_view.cc
+++ b/source/core/config/config_view.cc
@@ -185,9 +185,10 @@
   for (const auto& [other_kind, resources] : m_resources) {
     for (const auto& [other_name, resource] : resources) {
       if (ReferenceTo(kind, resource.spec) == name) {
-        Reject("name: '" + name + "' is still named by " +
-               std::string(kResourceKindNames.Name(other_kind)) + " '" +
-               other_name + "'");
+        const std::string_view kind_name = kResourceKindNames.Name(other_kind);
+        std::string what = "name: is still named by ";
+        what.append(kind_name).append(" '").append(other_name).append("'");
+        Reject(what);
       }
     }
   }
--- a/source/core/once/once_owner.cc
+++ b/source/core/once/once_owner.cc
@@ -161,7 +161,7 @@
       const bool doubled =
           other.from == claimant.from && other.claim.token == claim.token;
       if (!doubled)
-        state.running.emplace(claim.claim_id, claimant);
+        WaitForRunning(state, claimant);
       return;
     }
   }
@@ -178,6 +178,18 @@
   state.changes.claims.push_back(claimant);
 }
 
+void OnceOwner::WaitForRunning(PageState& state, const Claimant& claimant) {
+  const auto [first, last] = state.running.equal_range(claimant.claim.claim_id);
+  const bool waits = std::any_of(first, last, [&](const auto& entry) {
+    const Claimant& other = entry.second;
+    return other.from == claimant.from &&
+           other.claim.token == claimant.claim.token;
+  });
+  // why: a claim is repeated while it waits
+  if (!waits)
+    state.running.emplace(claimant.claim.claim_id, claimant);
+}
+
 void OnceOwner::DecideKnown(TimePoint now,
                             PageState& state,
                             const Claimant& claimant,
@@ -210,7 +222,7 @@
                 {.token = claim.token, .kind = OnceVerdictKind::kUnknown});
     return;
   }
-  state.running.emplace(claim.claim_id, claimant);
+  WaitForRunning(state, claimant);
   SendVerdict(claimant.from,
               {.token = claim.token, .kind = OnceVerdictKind::kInProgress});
 }
--- a/source/core/once/once_owner.h
+++ b/source/core/once/once_owner.h
@@ -131,6 +131,7 @@
               PageState& state,
               const Claimant& claimant,
               const Roster& roster);
+  static void WaitForRunning(PageState& state, const Claimant& claimant);
   void DecideKnown(TimePoint now,
                    PageState& state,
                    const Claimant& claimant,
--- a/source/frontends/process.cc
+++ b/source/frontends/process.cc
@@ -109,8 +109,7 @@
       : m_common(common), m_platform(platform) {}
 
   void Carry(RouterEffect effect) {
-    std::visit([this](auto&& held) { Route(std::move(held)); },
-               std::move(effect));
+    std::visit([this](auto& held) { Route(std::move(held)); }, effect);
   }
   void ReadyChanged(bool ready) { m_common.ReadyChanged(ready); }
 
@@ -135,8 +134,7 @@
       : m_common(common), m_upstream(upstream) {}
 
   void Carry(AgentEffect effect) {
-    std::visit([this](auto&& held) { Route(std::move(held)); },
-               std::move(effect));
+    std::visit([this](auto& held) { Route(std::move(held)); }, effect);
   }
   void ReadyChanged(bool ready) { m_common.ReadyChanged(ready); }
 
--- /dev/null
+++ b/source/unit_tests/core/once_history_test.cc
@@ -0,0 +1,459 @@
+// Requests that may not be repeated, against what must hold, over histories of
+// retries at several routers, losses, doubles, delays, pauses, restarts, VMs
+// that go, and outages of the platform's service.
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/hashing.h"
+#include "common/random.h"
+#include "core/once/once_owner.h"
+#include "unit_tests/core/fake_network.h"
+
+namespace boragepick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+using OnceMessage =
+    std::variant<OnceClaim, OnceVerdict, OnceOutcome, OnceOutcomeStored>;
+
+constexpr Duration kStep = milliseconds(20);
+
+std::string AnswerTo(const std::string& key) {
+  return "receipt of " + key;
+}
+
+// One attempt of a caller at one router.
+struct Attempt {
+  std::string key;
+  std::string claim_id;
+  std::string owner;
+  TimePoint next_send = TimePoint{};
+  bool granted = false;
+  // When the execution that was granted ends.
+  TimePoint ends = kNever;
+  std::optional<OnceOutcome> outcome;
+  bool answered = false;
+};
+
+struct Node {
+  std::string vm;
+  Incarnation run = 1;
+  std::unique_ptr<OnceOwner> owner;
+  Roster roster;
+  bool alive = true;
+  TimePoint paused_until = TimePoint{};
+  TimePoint next_tick = TimePoint{};
+  TimePoint next_roster = TimePoint{};
+  std::map<std::uint64_t, Attempt> attempts;
+  std::uint64_t last_token = 0;
+};
+
+class Fleet {
+ public:
+  Fleet(std::size_t routers, std::uint64_t seed, NetworkFaults faults)
+      : m_random(seed), m_network(faults, m_random) {
+    for (std::size_t i = 0; i < routers; ++i)
+      m_list.entries.push_back({.vm = "r" + std::to_string(i),
+                                .data_centre = "a",
+                                .peer_endpoint = "e" + std::to_string(i)});
+    m_list.version = 1;
+    for (const RosterEntry& entry : m_list.entries) {
+      m_nodes[entry.vm].vm = entry.vm;
+      Boot(m_nodes[entry.vm]);
+    }
+  }
+
+  bool down = false;
+
+  std::vector<std::string> Vms() const {
+    std::vector<std::string> vms;
+    for (const auto& [vm, node] : m_nodes)
+      vms.push_back(vm);
+    return vms;
+  }
+
+  void Call(const std::string& vm, const std::string& key) {
+    Node& node = m_nodes.at(vm);
+    if (!CanAct(node))
+      return;
+    Attempt& attempt = node.attempts[++node.last_token];
+    attempt.key = key;
+    attempt.claim_id = ClaimIdOf("casters", key);
+    ++m_attempts;
+  }
+
+  void Restart(const std::string& vm) {
+    Node& node = m_nodes.at(vm);
+    ++node.run;
+    Boot(node);
+  }
+
+  void Kill(const std::string& vm) {
+    m_nodes.at(vm).alive = false;
+    m_nodes.at(vm).attempts.clear();
+    std::erase_if(m_list.entries,
+                  [&](const RosterEntry& e) { return e.vm == vm; });
+    ++m_list.version;
+  }
+
+  void Pause(const std::string& vm, Duration duration) {
+    m_nodes.at(vm).paused_until = m_now + duration;
+  }
+
+  void Advance(Duration duration) {
+    for (const TimePoint end = m_now + duration; m_now < end; m_now += kStep)
+      Step();
+  }
+
+  int Executions(const std::string& key) const {
+    const auto found = m_executions.find(key);
+    return found == m_executions.end() ? 0 : found->second;
+  }
+  int writes() const { return m_writes; }
+  int reads() const { return m_reads; }
+  int attempts() const { return m_attempts; }
+  int Verdicts(OnceVerdictKind kind) const {
+    const auto found = m_verdicts.find(kind);
+    return found == m_verdicts.end() ? 0 : found->second;
+  }
+
+ private:
+  bool CanAct(const Node& node) const {
+    return node.alive && m_now >= node.paused_until;
+  }
+
+  void Boot(Node& node) {
+    node.alive = true;
+    node.attempts.clear();
+    node.roster = Roster();
+    node.roster.Apply(m_now, m_list);
+    node.owner = std::make_unique<OnceOwner>(
+        ProcessId{.vm = node.vm, .incarnation = node.run});
+    node.owner->SetSelfListedVersion(m_list.version);
+  }
+
+  void Step() {
+    const auto due = m_network.TakeDue(m_now, [this](const std::string& vm) {
+      const Node& node = m_nodes.at(vm);
+      if (!node.alive)
+        return Reception::kNever;
+      return CanAct(node) ? Reception::kNow : Reception::kLater;
+    });
+    for (const auto& message : due)
+      Deliver(m_nodes.at(message.to), message);
+    for (auto& [vm, node] : m_nodes) {
+      if (CanAct(node))
+        Run(node);
+    }
+  }
+
+  void Run(Node& node) {
+    if (m_now >= node.next_roster) {
+      // why: the list lags, and differently at each router
+      node.next_roster = m_now + milliseconds(m_random.Below(4000));
+      node.roster.Apply(m_now, m_list);
+    }
+    if (m_now >= node.next_tick) {
+      node.next_tick = m_now + milliseconds(100);
+      node.owner->Tick(m_now);
+    }
+    std::vector<std::uint64_t> done;
+    for (auto& [token, attempt] : node.attempts) {
+      Continue(node, token, attempt);
+      if (attempt.answered && !attempt.outcome)
+        done.push_back(token);
+    }
+    for (const std::uint64_t token : done)
+      node.attempts.erase(token);
+    CarryOut(node);
+  }
+
+  void Continue(Node& node, std::uint64_t token, Attempt& attempt) {
+    if (attempt.granted && m_now >= attempt.ends && !attempt.outcome) {
+      attempt.outcome =
+          OnceOutcome{.claim_id = attempt.claim_id,
+                      .token = token,
+                      .result = OnceResult::kWhole,
+                      .answer = {.status = 200, .body = AnswerTo(attempt.key)}};
+      attempt.next_send = m_now;
+    }
+    if (m_now < attempt.next_send || (attempt.granted && !attempt.outcome))
+      return;
+    attempt.next_send = m_now + milliseconds(300);
+    if (attempt.outcome)
+      Send(node, OwnerOf(node, attempt), *attempt.outcome);
+    else
+      Send(node, OwnerOf(node, attempt),
+           OnceClaim{.claim_id = attempt.claim_id,
+                     .request_hash = "hash of " + attempt.key,
+                     .token = token});
+  }
+
+  std::string OwnerOf(const Node& node, const Attempt& attempt) const {
+    if (!attempt.owner.empty())
+      return attempt.owner;
+    const std::uint32_t page = OncePageOf(attempt.claim_id);
+    return RendezvousOrder("once-page/" + std::to_string(page),
+                           node.roster.LiveRouters())
+        .front();
+  }
+
+  void Send(const Node& from,
+            const std::string& to,
+            const OnceMessage& message) {
+    m_network.Send(m_now, from.vm, from.run, to, message);
+  }
+
+  void Deliver(Node& node, const FakeNetwork<OnceMessage>::Message& message) {
+    node.roster.Heard(message.from, message.from_run);
+    const ProcessId from{.vm = message.from,
+                         .incarnation = message.from_run,
+                         .listed_version = node.roster.version()};
+    if (const auto* claim = std::get_if<OnceClaim>(&message.payload))
+      node.owner->HandleClaim(m_now, from, *claim, node.roster);
+    else if (const auto* outcome = std::get_if<OnceOutcome>(&message.payload))
+      node.owner->HandleOutcome(m_now, from, *outcome);
+    else if (const auto* verdict = std::get_if<OnceVerdict>(&message.payload))
+      TakeVerdict(node, *verdict);
+    else
+      TakeStored(node, std::get<OnceOutcomeStored>(message.payload));
+    CarryOut(node);
+  }
+
+  void TakeStored(Node& node, const OnceOutcomeStored& stored) {
+    const auto found = node.attempts.find(stored.token);
+    if (found != node.attempts.end() && found->second.outcome)
+      node.attempts.erase(found);
+  }
+
+  void TakeVerdict(Node& node, const OnceVerdict& verdict) {
+    const auto found = node.attempts.find(verdict.token);
+    if (found == node.attempts.end())
+      return;
+    Attempt& attempt = found->second;
+    if (verdict.kind == OnceVerdictKind::kRedirect) {
+      attempt.owner = verdict.owner_vm;
+      return;
+    }
+    if (attempt.granted || verdict.kind == OnceVerdictKind::kInProgress)
+      return;
+    ++m_verdicts[verdict.kind];
+    if (verdict.kind == OnceVerdictKind::kGranted) {
+      attempt.granted = true;
+      attempt.ends = m_now + milliseconds(m_random.Below(400));
+      const int executions = ++m_executions[attempt.key];
+      RC_ASSERT(executions == 1);
+      return;
+    }
+    // A retry gets the whole answer of the one run.
+    if (verdict.kind == OnceVerdictKind::kReplay) {
+      RC_ASSERT(Executions(attempt.key) == 1);
+      RC_ASSERT(verdict.answer.body == AnswerTo(attempt.key));
+    }
+    RC_ASSERT(verdict.kind != OnceVerdictKind::kMismatch);
+    node.attempts.erase(found);
+  }
+
+  // Each "not run" is true at the instant at which it is decided: while it is
+  // on its way, another open attempt with the same key may be granted.
+  void CheckNotRun(const OnceSend& send) {
+    const auto* verdict = std::get_if<OnceVerdict>(&send.message);
+    if (verdict == nullptr || verdict->kind != OnceVerdictKind::kNotRun)
+      return;
+    const Node& asker = m_nodes.at(send.vm);
+    const auto attempt = asker.attempts.find(verdict->token);
+    if (attempt != asker.attempts.end())
+      RC_ASSERT(Executions(attempt->second.key) == 0);
+  }
+
+  void CarryOut(Node& node) {
+    for (OnceEffect& effect : node.owner->TakeEffects()) {
+      if (const auto* read = std::get_if<OnceReadPage>(&effect)) {
+        ReadPage(node, read->page);
+      } else if (auto* write = std::get_if<OnceWritePage>(&effect)) {
+        WritePage(node, std::move(write->page));
+      } else if (auto* send = std::get_if<OnceSend>(&effect)) {
+        CheckNotRun(*send);
+        std::visit([&](const auto& m) { Send(node, send->vm, m); },
+                   send->message);
+      }
+    }
+  }
+
+  void ReadPage(Node& node, std::uint32_t page) {
+    ++m_reads;
+    if (down) {
+      node.owner->PageReadFailed(m_now, page);
+      return;
+    }
+    const auto stored = m_stored.find(page);
+    std::optional<OncePage> record;
+    if (stored != m_stored.end())
+      record = stored->second;
+    node.owner->PageRead(m_now, page, record, node.roster);
+  }
+
+  void WritePage(Node& node, OncePage page) {
+    ++m_writes;
+    const std::uint32_t number = page.page;
+    const auto stored = m_stored.find(number);
+    const Revision base =
+        stored == m_stored.end() ? 0 : stored->second.revision;
+    WriteOutcome outcome = WriteOutcome::kUnknown;
+    if (!down && base == page.revision) {
+      page.revision = ++m_revision;
+      m_stored[number] = std::move(page);
+      outcome = WriteOutcome::kWritten;
+    } else if (!down) {
+      outcome = WriteOutcome::kConflict;
+    }
+    // The answer may be lost after the write took effect.
+    if (m_network.Loses())
+      outcome = WriteOutcome::kUnknown;
+    node.owner->PageWritten(m_now, number, outcome, m_revision, node.roster);
+  }
+
+  TimePoint m_now = TimePoint(seconds(1000));
+  Random m_random;
+  FakeNetwork<OnceMessage> m_network;
+  RosterList m_list;
+  std::map<std::string, Node> m_nodes;
+  std::map<std::uint32_t, OncePage> m_stored;
+  Revision m_revision = 0;
+  std::map<std::string, int> m_executions;
+  std::map<OnceVerdictKind, int> m_verdicts;
+  int m_writes = 0;
+  int m_reads = 0;
+  int m_attempts = 0;
+};
+
+RC_GTEST_PROP(OnceHistory, RunsAtMostOnceAndTellsTheTruth, ()) {
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  const auto routers = *rc::gen::inRange<std::size_t>(1, 6);
+  const NetworkFaults faults{
+      .loss_percent = *rc::gen::inRange(0U, 40U),
+      .double_percent = *rc::gen::inRange(0U, 40U),
+      .max_delay = milliseconds(*rc::gen::inRange(1, 2000))};
+  Fleet fleet(routers, seed, faults);
+  Random random(seed + 1);
+  const std::vector<std::string> vms = fleet.Vms();
+  std::size_t killed = 0;
+  for (int step = 0; step < 120; ++step) {
+    const std::string& vm = vms[random.Below(vms.size())];
+    switch (random.Below(16)) {
+      case 0:
+        fleet.Restart(vm);
+        break;
+      case 1:
+        fleet.Pause(vm, milliseconds(random.Below(4000)));
+        break;
+      case 2:
+        fleet.down = !fleet.down;
+        break;
+      case 3:
+        if (++killed < vms.size())
+          fleet.Kill(vm);
+        break;
+      default:
+        fleet.Call(vm, "key-" + std::to_string(random.Below(12)));
+        fleet.Advance(milliseconds(random.Below(500)));
+    }
+  }
+}
+
+TEST(OnceHistory, RetriesOfFinishedRequestsCostNoPlatformCalls) {
+  Fleet fleet(3, 5, {});
+  for (int i = 0; i < 20; ++i)
+    fleet.Call("r" + std::to_string(i % 3), "key-" + std::to_string(i));
+  fleet.Advance(seconds(3));
+  const int calls = fleet.writes() + fleet.reads();
+  for (int i = 0; i < 200; ++i)
+    fleet.Call("r" + std::to_string(i % 3), "key-" + std::to_string(i % 20));
+  fleet.Advance(seconds(3));
+  EXPECT_EQ(fleet.writes() + fleet.reads(), calls);
+  EXPECT_EQ(fleet.Verdicts(OnceVerdictKind::kGranted), 20);
+  EXPECT_EQ(fleet.Verdicts(OnceVerdictKind::kReplay), 200);
+}
+
+TEST(OnceHistory, ServiceDownRefusesFirstAttemptsAndReplaysFinishedOnes) {
+  Fleet fleet(3, 6, {});
+  // One key only, so that its page is owned before the outage.
+  fleet.Call("r0", "done");
+  fleet.Advance(seconds(3));
+  fleet.down = true;
+  fleet.Call("r1", "done");
+  fleet.Advance(seconds(3));
+  EXPECT_EQ(fleet.Verdicts(OnceVerdictKind::kReplay), 1);
+  EXPECT_EQ(fleet.Executions("done"), 1);
+  // A key whose page nobody has read: an earlier run can't be excluded.
+  fleet.Call("r1", "never-seen");
+  fleet.Advance(seconds(3));
+  EXPECT_EQ(fleet.Executions("never-seen"), 0);
+  EXPECT_EQ(fleet.Verdicts(OnceVerdictKind::kUnknown), 1);
+}
+
+TEST(OnceOwner, OwnedPageRefusesNotRunWhileTheServiceIsDown) {
+  const TimePoint start = TimePoint(seconds(100));
+  const ProcessId self{.vm = "r0", .incarnation = 1, .listed_version = 1};
+  Roster roster;
+  roster.Apply(start, {.version = 1, .entries = {{.vm = "r0"}}});
+  OnceOwner owner(self);
+  const std::string claim_id = ClaimIdOf("team", "key");
+  const std::uint32_t page = OncePageOf(claim_id);
+  owner.Adopt(start, page);
+  owner.PageRead(start, page, std::nullopt, roster);
+  owner.PageWritten(start, page, WriteOutcome::kWritten, 7, roster);
+  owner.TakeEffects();
+  // The service is down from here on: the write ends unknown.
+  owner.HandleClaim(start, self,
+                    {.claim_id = claim_id, .request_hash = "h", .token = 1},
+                    roster);
+  owner.PageWritten(start, page, WriteOutcome::kUnknown, 0, roster);
+  owner.Tick(start + OnceOwner::kClaimPatience);
+  std::optional<OnceVerdict> verdict;
+  for (const OnceEffect& effect : owner.TakeEffects()) {
+    if (const auto* send = std::get_if<OnceSend>(&effect))
+      verdict = std::get<OnceVerdict>(send->message);
+  }
+  ASSERT_TRUE(verdict);
+  EXPECT_EQ(verdict->kind, OnceVerdictKind::kNotRun);
+}
+
+TEST(OnceOwner, AnotherRequestUnderTheSameKeyIsRefused) {
+  const TimePoint start = TimePoint(seconds(100));
+  const ProcessId self{.vm = "r0", .incarnation = 1, .listed_version = 1};
+  Roster roster;
+  roster.Apply(start, {.version = 1, .entries = {{.vm = "r0"}}});
+  OnceOwner owner(self);
+  const std::string claim_id = ClaimIdOf("team", "key");
+  const std::uint32_t page = OncePageOf(claim_id);
+  owner.HandleClaim(start, self,
+                    {.claim_id = claim_id, .request_hash = "a", .token = 1},
+                    roster);
+  owner.PageRead(start, page, std::nullopt, roster);
+  owner.PageWritten(start, page, WriteOutcome::kWritten, 7, roster);
+  owner.TakeEffects();
+  owner.HandleClaim(start, self,
+                    {.claim_id = claim_id, .request_hash = "b", .token = 2},
+                    roster);
+  const std::vector<OnceEffect> effects = owner.TakeEffects();
+  ASSERT_EQ(effects.size(), 1U);
+  const auto& verdict =
+      std::get<OnceVerdict>(std::get<OnceSend>(effects[0]).message);
+  EXPECT_EQ(verdict.kind, OnceVerdictKind::kMismatch);
+}
+
+}  // namespace
+}  // namespace boragepick
