Count what an earlier run of the agent ordered before loading anything

Ruled out: a wrong sum in the ledger (the direct tests pass) and the planner (one worker). Change: an agent loads nothing until a second account, a second after the first; accounts list loads under way, which count as taken.

--- a/source/core/agent/unit_desk.cc
+++ b/source/core/agent/unit_desk.cc
@@ -258,7 +258,9 @@
 void UnitDesk::Take(TimePoint now, const InventoryReceived& inventory) {
   if (!inventory.answered)
     return;
-  m_inventory_seen = true;
+  if (m_first_inventory == kNever)
+    m_first_inventory = now;
+  m_inventory_seen = now - m_first_inventory >= kSettle;
   for (const std::string& unit :
        m_ledger.ApplyInventory(now, inventory.items, inventory.asked_at_fence))
     m_loaded_weights[unit] = WeightsOf(unit);
--- a/source/core/agent/unit_desk.h
+++ b/source/core/agent/unit_desk.h
@@ -31,6 +31,9 @@
 class UnitDesk {
  public:
   static constexpr Duration kInventoryPeriod = std::chrono::seconds(2);
+  // An order that an earlier run of the agent left behind reaches the engine
+  // within so long; before, nothing is loaded.
+  static constexpr Duration kSettle = std::chrono::seconds(1);
   // An ask for a place at the weight store that gets no answer for so long is
   // given up.
   static constexpr Duration kSlotPatience = std::chrono::milliseconds(1200);
@@ -120,6 +123,8 @@
   std::map<std::string, std::string> m_loaded_weights;
   std::set<std::string> m_refused;
   std::uint64_t m_last_slot = 0;
+  TimePoint m_first_inventory = kNever;
+  // A second account, kSettle after the first, has come.
   bool m_inventory_seen = false;
   TimePoint m_next_inventory = TimePoint{};
   TimePoint m_next_slot_renewal = TimePoint{};
--- a/source/core/placement/memory_ledger.cc
+++ b/source/core/placement/memory_ledger.cc
@@ -76,16 +76,19 @@
     if (entry.fence > asked_at_fence)
       continue;
     const auto seen = held.find(name);
+    // why: a load under way, or one whose order may still reach the engine,
+    // doesn't show yet; only the answer to an order ends those
+    const bool foreign_load =
+        entry.residency == Residency::kLoading && !entry.ordered;
+    const bool own_load =
+        entry.residency == Residency::kLoading && entry.ordered;
+    const bool unknown = entry.residency == Residency::kUnknown;
     if (seen == held.end()) {
-      // why: a load under way, or one whose order may still reach the engine,
-      // doesn't show yet; only the answer to an order ends those
-      const bool settled = entry.residency == Residency::kResident ||
-                           entry.residency == Residency::kUnloading;
-      if (settled)
+      if (!unknown && !own_load)
         absent.push_back(name);
       continue;
     }
-    if (seen->second->loaded && entry.residency == Residency::kUnknown) {
+    if (seen->second->loaded && (unknown || foreign_load)) {
       entry.residency = Residency::kResident;
       entry.resident_since = now;
     }
@@ -97,11 +100,12 @@
     if (m_entries.contains(name))
       continue;
     m_entries[name] = {
-        .residency = item->loaded ? Residency::kResident : Residency::kUnknown,
+        .residency = item->loaded ? Residency::kResident : Residency::kLoading,
         .memory_mb = item->memory_mb,
         .last_used = now,
         .resident_since = now,
-        .fence = asked_at_fence};
+        .fence = asked_at_fence,
+        .ordered = false};
     m_taken_mb += item->memory_mb;
     strangers.push_back(name);
   }
--- a/source/core/placement/memory_ledger.h
+++ b/source/core/placement/memory_ledger.h
@@ -34,12 +34,16 @@
   TimePoint resident_since = TimePoint{};
   // The fencing number of the last order about it.
   std::uint64_t fence = 0;
+  // Whether this run of the agent ordered it; what an earlier run ordered is
+  // followed by the engine's account alone.
+  bool ordered = true;
 };
 
 // One line of the engine's own account of what it holds.
 struct InventoryItem {
   std::string name;
   std::uint64_t memory_mb = 0;
+  // False while its load is being carried out.
   bool loaded = false;
 };
 
--- a/source/tools/standin/engine_standin.cc
+++ b/source/tools/standin/engine_standin.cc
@@ -163,6 +163,7 @@
     ++m_crashes;
     ++m_run;
     m_loaded.clear();
+    m_loading.clear();
     m_taken_mb = 0;
     m_down = true;
     for (const auto& generation : m_generations)
@@ -199,6 +200,7 @@
     m_taken_mb += order.memory_mb();
     m_peak_mb = std::max(m_peak_mb, m_taken_mb);
     ++m_loads[order.name()];
+    m_loading[order.name()] = order.memory_mb();
     Load(order, std::make_shared<Deferred>(request.message));
   }
 
@@ -207,6 +209,7 @@
     const auto done = [this, order, answer, run = m_run] {
       if (run != m_run)
         return;
+      m_loading.erase(order.name());
       m_loaded[order.name()] = order.memory_mb();
       answer->Respond(SOUP_STATUS_OK, "{}\n");
     };
@@ -239,6 +242,11 @@
       unit.set_memory_mb(memory_mb);
       unit.set_loaded(true);
     }
+    for (const auto& [name, memory_mb] : m_loading) {
+      auto& unit = *inventory.add_units();
+      unit.set_name(name);
+      unit.set_memory_mb(memory_mb);
+    }
     Respond(request.message, SOUP_STATUS_OK, ToJson(inventory));
   }
 
@@ -260,6 +268,7 @@
   StandinOptions m_options;
   SoupSession* m_session;
   std::map<std::string, std::uint64_t> m_loaded;
+  std::map<std::string, std::uint64_t> m_loading;
   std::map<std::string, std::int64_t> m_loads;
   std::set<std::shared_ptr<Generation>> m_generations;
   std::vector<std::shared_ptr<Deferred>> m_frozen;
