--- a/source/core/routing/request.cc
+++ b/source/core/routing/request.cc
@@ -30,11 +30,8 @@
                    409},
     RefusalCodeRow{RefusalCode::kOnceAnswerNotKept, "once_answer_not_kept",
                    409},
-    RefusalCodeRow{RefusalCode::kDraining, "draining", 503},
     RefusalCodeRow{RefusalCode::kConfigurationMissing, "configuration_missing",
                    503},
-    RefusalCodeRow{RefusalCode::kConfigurationStale, "configuration_stale",
-                   503},
     RefusalCodeRow{RefusalCode::kKeyWithdrawn, "key_withdrawn", 401},
 };
 
--- a/source/core/routing/request.h
+++ b/source/core/routing/request.h
@@ -77,9 +77,7 @@
   kOnceUnavailable,
   kOnceOutcomeUnknown,
   kOnceAnswerNotKept,
-  kDraining,
   kConfigurationMissing,
-  kConfigurationStale,
   kKeyWithdrawn,
 };
 
--- /dev/null
+++ b/source/unit_tests/core/routing_test.cc
@@ -0,0 +1,243 @@
+// Fair queue, choice of upstream, poison, places, event streams.
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/random.h"
+#include "core/routing/choice.h"
+#include "core/routing/event_stream.h"
+#include "core/routing/fair_queue.h"
+#include "core/routing/poison_book.h"
+#include "core/routing/retry_budget.h"
+#include "core/routing/slot_desk.h"
+
+namespace boragepick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kNow = TimePoint(seconds(100));
+
+// Tokens served for each team out of a backlog in which one team has many
+// times more requests than the others.
+template <RequestQueue Queue>
+std::map<std::string, double> Serve(Queue& queue, std::size_t served) {
+  std::map<TicketId, std::string> teams;
+  TicketId id = 0;
+  for (int round = 0; round < 200; ++round) {
+    for (int i = 0; i < 20; ++i) {
+      queue.Push({.id = ++id, .team = "flood", .cost = 10});
+      teams[id] = "flood";
+    }
+    for (const char* team : {"a", "b", "c"}) {
+      queue.Push({.id = ++id, .team = team, .cost = 10});
+      teams[id] = team;
+    }
+  }
+  std::map<std::string, double> tokens;
+  for (std::size_t i = 0; i < served; ++i)
+    tokens[teams.at(*queue.Pop())] += 10;
+  return tokens;
+}
+
+double JainIndex(const std::map<std::string, double>& shares) {
+  double sum = 0;
+  double squares = 0;
+  for (const auto& [team, share] : shares) {
+    sum += share;
+    squares += share * share;
+  }
+  return sum * sum / (static_cast<double>(shares.size()) * squares);
+}
+
+TEST(FairQueue, EquallyEntitledTeamsGetEqualTokens) {
+  FairQueue fair;
+  FifoQueue naive;
+  const auto shares = Serve(fair, 400);
+  EXPECT_GT(JainIndex(shares), 0.99);
+  EXPECT_LT(JainIndex(Serve(naive, 400)), 0.5);
+}
+
+TEST(FairQueue, BatchNeitherStarvesNorIsStarved) {
+  FairQueue queue;
+  for (TicketId id = 1; id <= 100; ++id)
+    queue.Push({.id = id, .team = "a", .priority = Priority::kInteractive});
+  for (TicketId id = 101; id <= 200; ++id)
+    queue.Push({.id = id, .team = "b", .priority = Priority::kBatch});
+  int batch = 0;
+  for (int i = 0; i < 80; ++i)
+    batch += *queue.Pop() > 100 ? 1 : 0;
+  EXPECT_EQ(batch, 80 / static_cast<int>(FairQueue::kBatchTurn));
+}
+
+RC_GTEST_PROP(FairQueue, TakesEachTicketOnceLikeASet, ()) {
+  FairQueue queue;
+  std::set<TicketId> waiting;
+  Random random(*rc::gen::arbitrary<std::uint64_t>());
+  TicketId last = 0;
+  for (int step = 0; step < 300; ++step) {
+    const auto action = random.Below(5);
+    if (action < 2) {
+      waiting.insert(++last);
+      queue.Push({.id = last,
+                  .team = std::to_string(random.Below(4)),
+                  .priority = random.Below(2) == 0 ? Priority::kBatch
+                                                   : Priority::kInteractive,
+                  .cost = static_cast<std::int64_t>(random.Below(50)),
+                  .deadline = kNow + milliseconds(random.Below(1000))});
+    } else if (action == 2) {
+      const auto id = queue.Pop();
+      RC_ASSERT(id.has_value() == !waiting.empty());
+      if (id)
+        RC_ASSERT(waiting.erase(*id) == 1U);
+    } else if (action == 3 && last > 0) {
+      const TicketId id = 1 + random.Below(last);
+      queue.Remove(id);
+      waiting.erase(id);
+    } else {
+      for (const TicketId id :
+           queue.TakeExpired(kNow + milliseconds(random.Below(300))))
+        RC_ASSERT(waiting.erase(id) == 1U);
+    }
+    RC_ASSERT(queue.Size() == waiting.size());
+  }
+}
+
+TEST(Choice, FirstRequestsOfManyRoutersMeetAtOneAgent) {
+  std::vector<Candidate> cold(5);
+  std::set<std::size_t> chosen;
+  for (std::uint64_t router = 0; router < 50; ++router) {
+    std::vector<Candidate> candidates = cold;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+      candidates[i].same_data_centre = i % 3 == router % 3;
+    Random random(router);
+    AffinityOfTwo policy;
+    chosen.insert(
+        *policy.Choose({.candidates = candidates, .affinity = router}, random));
+  }
+  EXPECT_EQ(chosen.size(), 1U);
+}
+
+// The longest queue after many choices with reports that lag, beside the naive
+// policy's in the same run. Agents differ in speed.
+template <ChoicePolicy Policy>
+std::uint32_t LongestQueue(std::uint64_t seed) {
+  Policy policy;
+  Random random(seed);
+  std::vector<std::uint32_t> queues(20, 0);
+  std::vector<Candidate> known(20);
+  for (Candidate& candidate : known)
+    candidate = {.slots = 8, .resident = true, .same_data_centre = true};
+  std::uint32_t longest = 0;
+  for (int step = 0; step < 4000; ++step) {
+    const std::size_t index = *policy.Choose(
+        {.candidates = known, .affinity = random.Next()}, random);
+    ++queues[index];
+    ++known[index].sent_since;
+    for (std::size_t i = 0; i < queues.size(); ++i) {
+      // why: every other agent serves at half the speed
+      const std::uint64_t slowness = i % 2 == 0 ? 14 : 28;
+      if (queues[i] > 0 && random.Below(slowness) == 0)
+        --queues[i];
+      longest = std::max(longest, queues[i]);
+    }
+    if (step % 20 == 0) {
+      for (std::size_t i = 0; i < queues.size(); ++i) {
+        known[i].reported_load = queues[i];
+        known[i].sent_since = 0;
+      }
+    }
+  }
+  return longest;
+}
+
+TEST(Choice, KeepsQueuesShorterThanRoundRobin) {
+  EXPECT_LT(2 * LongestQueue<AffinityOfTwo>(3), LongestQueue<RoundRobin>(3));
+}
+
+TEST(PoisonBook, ConvictsAfterTwoCrashesAndClearsInnocents) {
+  PoisonBook book;
+  book.Take(kNow, {.fingerprint = 1, .crash = "w1/1"});
+  book.Take(kNow, {.fingerprint = 2, .crash = "w1/1"});
+  EXPECT_EQ(book.Judge(kNow, 1), PoisonVerdict::kSuspect);
+  // The same crash, told twice or by another router, counts once.
+  book.Take(kNow, {.fingerprint = 1, .crash = "w1/1"});
+  EXPECT_EQ(book.Judge(kNow, 1), PoisonVerdict::kSuspect);
+  book.Take(kNow, {.fingerprint = 2, .cleared = true});
+  EXPECT_EQ(book.Judge(kNow, 2), PoisonVerdict::kClean);
+  book.Take(kNow, {.fingerprint = 1, .crash = "w2/1"});
+  book.Take(kNow, {.fingerprint = 1, .cleared = true});
+  EXPECT_EQ(book.Judge(kNow, 1), PoisonVerdict::kConvicted);
+  EXPECT_EQ(book.Judge(kNow + PoisonBook::kSuspicionLife, 1),
+            PoisonVerdict::kClean);
+}
+
+TEST(RetryBudget, RetriesStayAShareOfFirstRequests) {
+  RetryBudget budget;
+  int retries = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    budget.FirstRequest();
+    retries += budget.TakeRetry() ? 1 : 0;
+  }
+  EXPECT_LE(retries, 10'000 * RetryBudget::kShare + RetryBudget::kInitial);
+}
+
+TEST(SlotDesk, InteractiveLoadsComeBeforeBatchOnes) {
+  SlotDesk desk;
+  const PeerSender agent{.vm = "w1", .incarnation = 1};
+  for (std::uint64_t number = 1; number <= 6; ++number)
+    desk.HandleAsk(
+        kNow, agent,
+        {.number = number, .pool = kWeightSlots, .priority = Priority::kBatch});
+  EXPECT_EQ(desk.Holding(kWeightSlots), 4U);
+  desk.HandleAsk(kNow, agent, {.number = 7, .pool = kWeightSlots});
+  const auto grants = desk.HandleAsk(
+      kNow, agent, {.number = 1, .pool = kWeightSlots, .done = true});
+  ASSERT_EQ(grants.size(), 1U);
+  EXPECT_EQ(grants[0].grant.number, 7U);
+}
+
+TEST(SlotDesk, ASilentHolderLosesItsPlace) {
+  SlotDesk desk;
+  for (int i = 0; i < 5; ++i) {
+    const PeerSender agent{.vm = "w" + std::to_string(i), .incarnation = 1};
+    desk.HandleAsk(kNow, agent, {.number = 1, .pool = kWeightSlots});
+  }
+  desk.HandleAsk(kNow + seconds(4), {.vm = "w4", .incarnation = 1},
+                 {.number = 1, .pool = kWeightSlots});
+  const auto grants = desk.Tick(kNow + SlotDesk::kAskLife);
+  ASSERT_EQ(grants.size(), 1U);
+  EXPECT_EQ(grants[0].vm, "w4");
+}
+
+RC_GTEST_PROP(EventStream, PassesWholeEventsHoweverTheBytesAreCut, ()) {
+  const auto tokens = *rc::gen::inRange(0, 30);
+  std::string text;
+  for (int i = 0; i < tokens; ++i)
+    text += "data: {\"t\":" + std::to_string(i) + "}\n\n";
+  text += "data: [DONE]\n\n";
+  Random random(*rc::gen::arbitrary<std::uint64_t>());
+  EventStream stream;
+  std::string passed;
+  for (std::size_t at = 0; at < text.size();) {
+    const std::size_t size =
+        std::min<std::size_t>(1 + random.Below(40), text.size() - at);
+    const std::string events = stream.Take(text.substr(at, size));
+    RC_ASSERT(events.empty() || events.ends_with("\n\n"));
+    passed += events;
+    at += size;
+  }
+  RC_ASSERT(passed == text);
+  RC_ASSERT(stream.finished());
+  RC_ASSERT(stream.tokens() == static_cast<std::uint64_t>(tokens));
+}
+
+}  // namespace
+}  // namespace boragepick
--- /dev/null
+++ b/source/unit_tests/wire/codec_test.cc
@@ -0,0 +1,215 @@
+// Every decoder of outside bytes: what was encoded comes back, and bytes that
+// are cut, changed or foreign are refused with an error, never taken.
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+#include <string>
+#include <vector>
+
+#include "common/error.h"
+#include "common/random.h"
+#include "frontends/caller_codec.h"
+#include "frontends/etcd_codec.h"
+#include "frontends/operator_codec.h"
+#include "frontends/settings.h"
+#include "wire/peer_codec.h"
+#include "wire/record_codec.h"
+
+namespace boragepick {
+namespace {
+
+const PeerSender kSelf{.vm = "r1", .incarnation = 7, .endpoint = "127.0.0.1:1"};
+
+std::vector<PeerMessage> AllMessages() {
+  const AttemptId id{.request = 5, .attempt = 2};
+  const Resource team{
+      .name = "t",
+      .spec = TeamSpec{.rate_tokens_per_second = 3, .burst_tokens = 4},
+      .resource_version = 8};
+  return {
+      RunRequest{.id = id,
+                 .path = "/v1",
+                 .body = std::string("\0x", 2),
+                 .model = "m",
+                 .stream = true},
+      CancelRun{.id = id},
+      RunProgress{.id = id},
+      RunHead{.id = id, .head = {.status = 201, .content_type = "text/plain"}},
+      RunChunk{.id = id, .sequence = 9, .bytes = "abc"},
+      RunEnded{.id = id,
+               .end = RunEnd::kCrashed,
+               .chunks = 3,
+               .crash = "w/1",
+               .report = {.running = 1, .units = {{.name = "m"}}}},
+      AgentReport{.waiting = 4, .leaving = true},
+      FeedSubscribe{.revision = 4, .nodes = 0},
+      FeedFresh{.revision = 4, .age = std::chrono::milliseconds(3)},
+      FeedUpdate{.snapshot = true,
+                 .revision = 8,
+                 .items = {{.key = "k", .revision = 8, .value = team}}},
+      RosterList{.version = 3,
+                 .entries = {{.vm = "w", .role = NodeRole::kAgent}}},
+      QuotaAsk{.team = "t",
+               .number = 2,
+               .wanted = 3,
+               .closed = {{.number = 1, .unspent = 1}}},
+      QuotaLoan{.team = "t", .number = 2, .tokens = 3},
+      OnceClaim{.claim_id = "c", .request_hash = "h", .token = 3},
+      OnceVerdict{.token = 3,
+                  .kind = OnceVerdictKind::kReplay,
+                  .answer = {.status = 200, .body = "b"}},
+      OnceOutcome{.claim_id = "c", .token = 3, .result = OnceResult::kWhole},
+      OnceOutcomeStored{.token = 3},
+      CrashNotice{.fingerprint = 5, .crash = "w/1"},
+      SlotAsk{.number = 1, .pool = "weights", .priority = Priority::kBatch},
+      SlotGrant{.number = 1, .pool = "weights", .granted = false}};
+}
+
+TEST(PeerCodec, EveryMessageComesBack) {
+  const std::vector<PeerMessage> messages = AllMessages();
+  ASSERT_EQ(messages.size(), std::variant_size_v<PeerMessage>);
+  for (const PeerMessage& message : messages) {
+    const std::string frame = EncodePeerFrame(kSelf, message);
+    const PeerFrame decoded = DecodePeerFrame(frame, "peer");
+    EXPECT_EQ(decoded.from.vm, kSelf.vm);
+    EXPECT_EQ(decoded.message.index(), message.index());
+    // why: encoded again it must be the same, whatever fields it has
+    EXPECT_EQ(EncodePeerFrame(decoded.from, decoded.message), frame);
+  }
+}
+
+// Runs a decoder on bytes; only Error may come out of it.
+template <typename Decode>
+void MustNotBreak(Decode decode) {
+  try {
+    decode();
+  } catch (const Error& error) {
+    RC_ASSERT(!std::string(error.what()).empty());
+  }
+}
+
+std::string Damaged(std::string text, Random& random) {
+  const auto changes = 1 + random.Below(4);
+  for (std::uint64_t i = 0; i < changes && !text.empty(); ++i) {
+    const std::size_t at = random.Below(text.size());
+    if (random.Below(3) == 0)
+      text.resize(at);
+    else
+      text[at] = static_cast<char>(random.Next());
+  }
+  return text;
+}
+
+RC_GTEST_PROP(PeerCodec, DamagedFramesNeverBreakIt, ()) {
+  Random random(*rc::gen::arbitrary<std::uint64_t>());
+  for (const PeerMessage& message : AllMessages()) {
+    const std::string frame = Damaged(EncodePeerFrame(kSelf, message), random);
+    MustNotBreak([&] { DecodePeerFrame(frame, "peer"); });
+  }
+}
+
+RC_GTEST_PROP(Codecs, ArbitraryBytesNeverBreakThem, ()) {
+  const auto bytes = *rc::gen::arbitrary<std::string>();
+  MustNotBreak([&] { DecodePeerFrame(bytes, "peer"); });
+  MustNotBreak([&] { DecodeDocument(bytes); });
+  MustNotBreak([&] { DecodeWatchLine(bytes); });
+  MustNotBreak([&] { DecodeFeedSnapshot(bytes); });
+  MustNotBreak([&] { DecodeOncePage(bytes, 1); });
+  MustNotBreak([&] { ParseSettings(bytes, "file"); });
+  MustNotBreak([&] {
+    DecodeCall({.method = "POST",
+                .target = "/" + bytes,
+                .headers = {.content_type = "application/json"},
+                .body = bytes},
+               1, {});
+  });
+  MustNotBreak([&] {
+    DecodeOperatorCall(
+        {.method = "PUT", .target = kOperatorPrefix + bytes, .body = bytes});
+  });
+}
+
+RC_GTEST_PROP(Codecs, DamagedDocumentsNeverBreakThem, ()) {
+  Random random(*rc::gen::arbitrary<std::uint64_t>());
+  const std::string document =
+      R"({"kind":"team","name":"t","team":{"rate_tokens_per_second":5,"burst_tokens":6}})";
+  MustNotBreak([&] { DecodeDocument(Damaged(document, random)); });
+  MustNotBreak(
+      [&] { ParseSettings(Damaged(DefaultSettingsText(), random), "file"); });
+}
+
+TEST(OperatorCodec, NamesTheFaultyField) {
+  const auto reason = [](const std::string& json) {
+    try {
+      DecodeDocument(json);
+      return std::string("accepted");
+    } catch (const Error& error) {
+      return error.reason();
+    }
+  };
+  EXPECT_NE(
+      reason(R"({"kind":"team","name":"t","team":{"rate":5}})").find("rate"),
+      std::string::npos);
+  EXPECT_NE(
+      reason(R"({"kind":"tea","name":"t"})").find("expected one of model"),
+      std::string::npos);
+  EXPECT_NE(reason(R"({"kind":"team","name":"t","key":{}})").find("spec"),
+            std::string::npos);
+}
+
+TEST(RecordCodec, AOncePageComesBack) {
+  OncePage page{.page = 3,
+                .owner = {.vm = "r1", .incarnation = 2, .listed_version = 4},
+                .last_order = 9};
+  page.entries["id"] = {.state = ClaimState::kDone,
+                        .request_hash = "h",
+                        .token = 5,
+                        .answer_kept = true,
+                        .answer = {.status = 200, .body = "x"},
+                        .order = 9};
+  const OncePage decoded = DecodeOncePage(EncodeValue(page), 12);
+  EXPECT_EQ(decoded.revision, 12);
+  EXPECT_EQ(decoded.owner, page.owner);
+  EXPECT_EQ(decoded.entries.at("id").answer, page.entries.at("id").answer);
+}
+
+TEST(CallerCodec, KeysAreHashedAndGoNoFurther) {
+  const CallerRequest request =
+      DecodeCall({.method = "GET",
+                  .target = "/stock?item=4&key=secret&x=1",
+                  .headers = {.authorization = "Bearer secret"}},
+                 1, {});
+  EXPECT_EQ(request.path, "/stock?item=4&x=1");
+  EXPECT_EQ(request.key_sha256.size(), 64U);
+  EXPECT_EQ(request.path.find("secret"), std::string::npos);
+}
+
+TEST(CallerCodec, RefusalsCarryCodeAndRan) {
+  const std::string json =
+      EncodeRefusal({.code = RefusalCode::kRateLimited, .message = "a \"b\""});
+  EXPECT_EQ(json,
+            "{\"error\":{\"code\":\"rate_limited\",\"message\":\"a "
+            "\\\"b\\\"\",\"ran\":\"not_run\"}}\n");
+}
+
+TEST(Settings, AllFaultsAreToldWithFileAndLine) {
+  const std::string text =
+      "[node]\nrole = boss\nvm = r1\ncolour = red\n[http]\nendpoint = x\n";
+  try {
+    ParseSettings(text, "a.ini");
+    FAIL() << "accepted";
+  } catch (const Error& error) {
+    const std::string what = error.reason();
+    EXPECT_NE(what.find("a.ini:2: [node] role expected one of router, agent"),
+              std::string::npos);
+    EXPECT_NE(what.find("a.ini:4: [node] colour is not a known key"),
+              std::string::npos);
+    EXPECT_NE(what.find("[http] endpoint expected ip:port"), std::string::npos);
+    EXPECT_NE(what.find("[node] data_centre is missing"), std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace boragepick
--- a/source/wire/peer_codec.cc
+++ b/source/wire/peer_codec.cc
@@ -1,5 +1,7 @@
 #include "wire/peer_codec.h"
 
+#include <google/protobuf/stubs/logging.h>
+
 #include "common/error.h"
 #include "wire/record_codec.h"
 
@@ -413,6 +415,10 @@
 }
 
 PeerFrame DecodePeerFrame(std::string_view frame, const std::string& peer) {
+  // why: protobuf would write to standard error for each foreign frame; the
+  // caller logs it as an event
+  [[maybe_unused]] static const auto kPreviousLogHandler =
+      google::protobuf::SetLogHandler(nullptr);
   wire::Envelope envelope;
   try {
     if (!envelope.ParseFromArray(frame.data(), static_cast<int>(frame.size())))
