Tell a crash of the engine from an engine that is down

Cause: innocents were convicted after a poisoned prompt: sent to an engine that was still down, their broken connections looked like further crashes (trace: fingerprint of the innocent prompt refused as poisoned at both routers). And the HTTP library sent a request again by itself on a kept connection, so one prompt crashed an engine twice unseen. Ruled out: the count in the poison book (its direct test passes). The stand-in also answered 500 instead of breaking the crashing connection.

--- a/source/core/agent/run_desk.cc
+++ b/source/core/agent/run_desk.cc
@@ -7,6 +7,13 @@
 
 namespace boragepick {
 
+namespace {
+
+// An engine's answer to a request for a model that is not in its memory.
+constexpr std::uint32_t kStatusNotLoaded = 404;
+
+}  // namespace
+
 RunDesk::Run* RunDesk::Find(RunNumber number) {
   const auto found = m_runs.find(number);
   return found == m_runs.end() ? nullptr : &found->second;
@@ -18,7 +25,8 @@
                               .message = std::move(message)});
 }
 
-std::string RunDesk::ReasonToRefuse(const RunRequest& request) const {
+std::string RunDesk::ReasonToRefuse(TimePoint now,
+                                    const RunRequest& request) const {
   if (m_closed)
     return "the agent is leaving";
   if (m_waiting.size() + m_queue.Size() >= m_state.options.max_waiting)
@@ -29,6 +37,8 @@
     return "the model is not known here";
   if (!m_units.MayRun(request.model))
     return "the model is not permitted here";
+  if (m_units.EngineDown(now))
+    return "the engine does not answer";
   return "";
 }
 
@@ -45,7 +55,7 @@
   if (m_ended.contains(key))
     return;
   ++m_metrics.taken;
-  const std::string reason = ReasonToRefuse(request);
+  const std::string reason = ReasonToRefuse(now, request);
   const RunNumber number = ++m_last_number;
   Run& run = m_runs[number];
   run.key = key;
@@ -108,6 +118,9 @@
 }
 
 void RunDesk::StartNext(TimePoint now) {
+  // why: what is sent to an engine that is down would look like its crash
+  if (!m_units.EngineUp())
+    return;
   while (m_running < m_state.options.slots && !m_suspect_running) {
     std::optional<RunNumber> number = m_suspect_next;
     if (number && Find(*number) == nullptr)
@@ -120,6 +133,13 @@
     Run* run = Find(*number);
     if (run == nullptr)
       continue;
+    const bool ready =
+        run->request.model.empty() ||
+        m_units.IsResident(run->request.model, run->request.adapter);
+    if (!ready) {
+      WaitAgain(now, *number, *run);
+      continue;
+    }
     if (run->request.suspect && m_running > 0) {
       // why: what runs beside a suspect would go down with it
       m_suspect_next = number;
@@ -129,6 +149,14 @@
   }
 }
 
+// The engine was restarted while the run was queued.
+void RunDesk::WaitAgain(TimePoint now, RunNumber number, Run& run) {
+  m_units.EndUse(now, run.request.model, run.request.adapter);
+  run.in_use = false;
+  run.stage = RunStage::kWaitingUnit;
+  m_waiting.insert(number);
+}
+
 void RunDesk::Start(TimePoint now, RunNumber number, Run& run) {
   run.stage = RunStage::kRunning;
   run.last_progress = now;
@@ -168,6 +196,15 @@
   if (run == nullptr)
     return;
   run->last_progress = now;
+  const bool missing = m_state.options.pool == kModelPool &&
+                       head.head.status == kStatusNotLoaded;
+  if (missing) {
+    // why: the engine was restarted behind the agent's back
+    m_state.Emit(CancelUpstreamRun{.run = head.run});
+    End(now, head.run, RunEnd::kNotRun, "the engine does not hold the model");
+    m_units.AskForInventory();
+    return;
+  }
   Tell(now, *run, RunHead{.id = run->request.id, .head = head.head});
 }
 
@@ -190,11 +227,13 @@
     End(now, ended.run, RunEnd::kWhole, "");
   } else if (ended.end == UpstreamEnd::kNotSent) {
     End(now, ended.run, RunEnd::kNotRun, ended.detail);
+    m_units.DoubtEngine(now);
     m_units.AskForInventory();
   } else if (m_state.options.pool != kModelPool) {
     End(now, ended.run, RunEnd::kCut, ended.detail);
   } else {
     // why: only the engine's own account tells a broken connection from a crash
+    m_units.DoubtEngine(now);
     run->stage = RunStage::kBroken;
     run->detail = ended.detail;
     m_units.AskForInventory();
@@ -278,6 +317,8 @@
     if (now - run.last_told >= kProgressPeriod)
       Tell(now, run, RunProgress{.id = run.request.id});
   }
+  if (m_units.EngineDown(now))
+    EndUnstarted(now);
   for (const RunNumber number : late)
     End(now, number, RunEnd::kNotRun,
         "its deadline came while its model was loaded");
@@ -288,6 +329,19 @@
   }
 }
 
+// Routers find another agent for what the engine can't take now.
+void RunDesk::EndUnstarted(TimePoint now) {
+  std::vector<RunNumber> unstarted;
+  for (const auto& [number, run] : m_runs) {
+    const bool started =
+        run.stage == RunStage::kRunning || run.stage == RunStage::kBroken;
+    if (!started)
+      unstarted.push_back(number);
+  }
+  for (const RunNumber number : unstarted)
+    End(now, number, RunEnd::kNotRun, "the engine does not answer");
+}
+
 void RunDesk::Tick(TimePoint now) {
   CheckTimes(now);
   std::erase_if(m_ended, [&](const auto& entry) {
--- a/source/core/agent/run_desk.h
+++ b/source/core/agent/run_desk.h
@@ -83,7 +83,9 @@
     std::string detail;
   };
 
-  std::string ReasonToRefuse(const RunRequest& request) const;
+  std::string ReasonToRefuse(TimePoint now, const RunRequest& request) const;
+  void WaitAgain(TimePoint now, RunNumber number, Run& run);
+  void EndUnstarted(TimePoint now);
   void StartNext(TimePoint now);
   void Start(TimePoint now, RunNumber number, Run& run);
   void End(TimePoint now,
--- a/source/core/agent/unit_desk.cc
+++ b/source/core/agent/unit_desk.cc
@@ -256,8 +256,11 @@
 }
 
 void UnitDesk::Take(TimePoint now, const InventoryReceived& inventory) {
-  if (!inventory.answered)
+  if (!inventory.answered) {
+    DoubtEngine(now);
     return;
+  }
+  m_doubted_since = kNever;
   if (m_first_inventory == kNever)
     m_first_inventory = now;
   m_inventory_seen = now - m_first_inventory >= kSettle;
@@ -267,6 +270,26 @@
 }
 
 // --- Unloads
+void UnitDesk::DoubtEngine(TimePoint now) {
+  if (m_doubted_since == kNever)
+    m_doubted_since = now;
+  m_next_inventory = std::min(m_next_inventory, now + kDoubtPeriod);
+}
+
+bool UnitDesk::EngineDown(TimePoint now) const {
+  constexpr Duration kRestartTime = std::chrono::seconds(1);
+  return m_doubted_since != kNever && now - m_doubted_since >= kRestartTime;
+}
+
+bool UnitDesk::IsResident(const std::string& model,
+                          const std::string& adapter) const {
+  const auto resident = [this](const std::string& unit) {
+    const LedgerEntry* entry = m_ledger.Find(unit);
+    return entry != nullptr && entry->residency == Residency::kResident;
+  };
+  return resident(model) && (adapter.empty() || resident(adapter));
+}
+
 // --------------------------------------------------------------------------------------
 
 bool UnitDesk::IsStale(TimePoint now,
@@ -329,8 +352,8 @@
   if (now >= m_next_slot_renewal)
     m_next_slot_renewal = now + SlotDesk::kAskPeriod;
   if (now >= m_next_inventory) {
-    m_next_inventory =
-        now + (m_inventory_seen ? kInventoryPeriod : kInventoryPeriod / 10);
+    const bool settled = m_inventory_seen && EngineUp();
+    m_next_inventory = now + (settled ? kInventoryPeriod : kDoubtPeriod);
     AskForInventory();
   }
   UnloadUnwanted(now);
--- a/source/core/agent/unit_desk.h
+++ b/source/core/agent/unit_desk.h
@@ -31,6 +31,8 @@
 class UnitDesk {
  public:
   static constexpr Duration kInventoryPeriod = std::chrono::seconds(2);
+  // The same while it is not certain that the engine is up.
+  static constexpr Duration kDoubtPeriod = std::chrono::milliseconds(200);
   // An order that an earlier run of the agent left behind reaches the engine
   // within so long; before, nothing is loaded.
   static constexpr Duration kSettle = std::chrono::seconds(1);
@@ -67,6 +69,13 @@
   void Tick(TimePoint now);
   void AskForInventory();
 
+  // A connection broke: nothing is started until the engine has answered.
+  void DoubtEngine(TimePoint now);
+  bool EngineUp() const { return m_doubted_since == kNever; }
+  // Whether the engine has not answered for longer than a restart may take.
+  bool EngineDown(TimePoint now) const;
+  bool IsResident(const std::string& model, const std::string& adapter) const;
+
   bool InventorySeen() const { return m_inventory_seen; }
   // A load that the engine refused: requests that wait for it go elsewhere.
   // Cleared by reading.
@@ -127,6 +136,8 @@
   // A second account, kSettle after the first, has come.
   bool m_inventory_seen = false;
   TimePoint m_next_inventory = TimePoint{};
+  // Since when the engine has not answered.
+  TimePoint m_doubted_since = kNever;
   TimePoint m_next_slot_renewal = TimePoint{};
   TimePoint m_last_tick = kNever;
   UnitMetrics m_metrics;
--- a/source/frontends/upstream_client.h
+++ b/source/frontends/upstream_client.h
@@ -19,8 +19,7 @@
 
 struct UpstreamOptions {
   std::string url;
-  // An engine may get a request again when a kept connection was closed; a
-  // plain service never does.
+  // Engines get the headers for cache, priority and resumption.
   bool engine = false;
   unsigned slots = 16;
   unsigned load_timeout_ms = 600'000;
--- a/source/tools/standin/engine_standin.cc
+++ b/source/tools/standin/engine_standin.cc
@@ -89,6 +89,7 @@
     }
     ++m_runs;
     if (request.body.find(kCrashMark) != std::string::npos) {
+      Cut(request.message);
       Crash();
       return;
     }
--- a/source/unit_tests/end_to_end/end_to_end_test.cc
+++ b/source/unit_tests/end_to_end/end_to_end_test.cc
@@ -180,6 +180,8 @@
   }
   WaitUntil([&] { return done >= 20; });
   deployment.Kill("r2");
+  // The platform notices, and its list proves the VM gone.
+  deployment.ListWithout({"r2"});
   for (std::thread& caller : callers)
     caller.join();
   EXPECT_EQ(
