--- /dev/null
+++ b/examples/embed/embed.cc
@@ -0,0 +1,98 @@
+// Embeds two parts of the library into a program of its own: a divided quota
+// from which two admission points borrow, and once-claims kept in a record that
+// the program itself stores. No daemon, no socket, no clock.
+
+#include <boragepick/core/once/once_owner.h>
+#include <boragepick/core/quota/quota_desk.h>
+
+#include <chrono>
+#include <iostream>
+#include <optional>
+
+namespace {
+
+using namespace boragepick;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kExitFailed = 1;
+
+// Two admission points share one team's rate; the second holds no share of its
+// own and borrows from the first.
+bool DivideQuota() {
+  const TimePoint start = TimePoint(seconds(1000));
+  const TeamSpec team{.rate_tokens_per_second = 100, .burst_tokens = 1000};
+  Roster roster;
+  roster.Apply(start, {.version = 1, .entries = {{.vm = "a"}}});
+  QuotaDesk holder({.vm = "a", .incarnation = 1, .listed_version = 1});
+  QuotaDesk borrower({.vm = "b", .incarnation = 1, .listed_version = 1});
+  holder.SetTeam(start, "team", team, QuotaDesk::TeamOrigin::kCreated);
+  borrower.SetTeam(start, "team", team, QuotaDesk::TeamOrigin::kCreated);
+
+  std::optional<SharePage> page = holder.PlanPage(start, roster, false);
+  // The program would write the page by compare-and-swap; here it succeeds.
+  page->revision = 1;
+  holder.PageWritten(start, WriteOutcome::kWritten, page->revision);
+  borrower.SetPage(start, *page);
+
+  borrower.SetWaiting("team", 300, 300);
+  for (const OutgoingAsk& ask : borrower.Poll(start))
+    borrower.HandleLoan(start, ask.vm, holder.HandleAsk(start, "b#1", ask.ask));
+  const bool borrowed = borrower.Admit(start + milliseconds(1), "team", 300);
+  const bool rest = holder.Admit(start + milliseconds(1), "team", 700);
+  const bool too_much = holder.Admit(start + milliseconds(1), "team", 100);
+  std::cout << "borrowed 300: " << borrowed << ", rest 700: " << rest
+            << ", 100 more: " << too_much << '\n';
+  return borrowed && rest && !too_much;
+}
+
+// A claim is granted once; a retry gets the kept answer.
+bool RunOnce() {
+  const TimePoint now = TimePoint(seconds(1000));
+  const ProcessId self{.vm = "a", .incarnation = 1, .listed_version = 1};
+  Roster roster;
+  roster.Apply(now, {.version = 1, .entries = {{.vm = "a"}}});
+  OnceOwner owner(self);
+  OncePage stored;
+  int granted = 0;
+  int replayed = 0;
+  const auto carry_out = [&] {
+    for (auto effects = owner.TakeEffects(); !effects.empty();
+         effects = owner.TakeEffects()) {
+      for (OnceEffect& effect : effects) {
+        if (const auto* read = std::get_if<OnceReadPage>(&effect)) {
+          owner.PageRead(now, read->page, std::nullopt, roster);
+        } else if (auto* write = std::get_if<OnceWritePage>(&effect)) {
+          stored = std::move(write->page);
+          owner.PageWritten(now, stored.page, WriteOutcome::kWritten,
+                            ++stored.revision, roster);
+        } else if (const auto* send = std::get_if<OnceSend>(&effect)) {
+          const auto* verdict = std::get_if<OnceVerdict>(&send->message);
+          granted += verdict && verdict->kind == OnceVerdictKind::kGranted;
+          replayed += verdict && verdict->kind == OnceVerdictKind::kReplay;
+        }
+      }
+    }
+  };
+  const std::string claim = ClaimIdOf("team", "booking-1");
+  owner.HandleClaim(
+      now, self, {.claim_id = claim, .request_hash = "h", .token = 1}, roster);
+  carry_out();
+  owner.HandleOutcome(now, self,
+                      {.claim_id = claim,
+                       .token = 1,
+                       .result = OnceResult::kWhole,
+                       .answer = {.status = 200, .body = "receipt"}});
+  carry_out();
+  owner.HandleClaim(
+      now, self, {.claim_id = claim, .request_hash = "h", .token = 2}, roster);
+  carry_out();
+  std::cout << "granted " << granted << ", replayed " << replayed << '\n';
+  return granted == 1 && replayed == 1;
+}
+
+}  // namespace
+
+int main() {
+  return DivideQuota() && RunOnce() ? 0 : kExitFailed;
+}
--- a/source/core/agent/run_desk.cc
+++ b/source/core/agent/run_desk.cc
@@ -287,7 +287,7 @@
   ++m_metrics.ended[end];
   m_numbers.erase(run.key);
   if (end != RunEnd::kNotRun)
-    m_ended[run.key] = now;
+    RememberEnded(now, run.key);
   Run ended = std::move(run);
   m_runs.erase(number);
   Tell(now, ended,
@@ -329,6 +329,18 @@
   }
 }
 
+void RunDesk::RememberEnded(TimePoint now, const RunKey& key) {
+  m_ended.insert(key);
+  m_ended_order.emplace_back(now + kEndedLife, key);
+}
+
+void RunDesk::ForgetEnded(TimePoint now) {
+  while (!m_ended_order.empty() && m_ended_order.front().first <= now) {
+    m_ended.erase(m_ended_order.front().second);
+    m_ended_order.pop_front();
+  }
+}
+
 // Routers find another agent for what the engine can't take now.
 void RunDesk::EndUnstarted(TimePoint now) {
   std::vector<RunNumber> unstarted;
@@ -344,9 +356,7 @@
 
 void RunDesk::Tick(TimePoint now) {
   CheckTimes(now);
-  std::erase_if(m_ended, [&](const auto& entry) {
-    return now - entry.second >= kEndedLife;
-  });
+  ForgetEnded(now);
   std::erase_if(m_routers, [&](const auto& entry) {
     return now - entry.second.used >= kRouterLife;
   });
--- a/source/core/agent/run_desk.h
+++ b/source/core/agent/run_desk.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -86,6 +87,8 @@
   std::string ReasonToRefuse(TimePoint now, const RunRequest& request) const;
   void WaitAgain(TimePoint now, RunNumber number, Run& run);
   void EndUnstarted(TimePoint now);
+  void RememberEnded(TimePoint now, const RunKey& key);
+  void ForgetEnded(TimePoint now);
   void StartNext(TimePoint now);
   void Start(TimePoint now, RunNumber number, Run& run);
   void End(TimePoint now,
@@ -106,7 +109,9 @@
   FairQueue m_queue;
   std::map<RunNumber, Run> m_runs;
   std::map<RunKey, RunNumber> m_numbers;
-  std::map<RunKey, TimePoint> m_ended;
+  std::set<RunKey> m_ended;
+  // The same in the order in which they are forgotten.
+  std::deque<std::pair<TimePoint, RunKey>> m_ended_order;
   std::set<RunNumber> m_waiting;
   RunNumber m_last_number = 0;
   std::uint32_t m_running = 0;
--- a/source/core/quota/quota_desk.cc
+++ b/source/core/quota/quota_desk.cc
@@ -14,6 +14,9 @@
 constexpr Duration kAskAhead = std::chrono::milliseconds(400);
 // Weight of the newest measurement in the smoothed spend rate.
 constexpr double kSpendSmoothing = 0.3;
+// A router borrows from its own share for so many requests at a time; what is
+// not needed goes back.
+constexpr Tokens kSelfLoanCosts = 4;
 constexpr Duration kUnknownWriteDelay = std::chrono::seconds(1);
 
 std::string BorrowerName(const ProcessId& process) {
@@ -89,7 +92,7 @@
   Team& entry = found->second;
   const Tokens available = entry.purse.Available(now);
   if (available < cost)
-    BorrowFromSelf(now, entry, cost - available);
+    BorrowFromSelf(now, entry, kSelfLoanCosts * cost - available);
   if (!entry.purse.Spend(now, cost))
     return false;
   entry.spent_since_poll += cost;
--- a/source/frontends/upstream_client.cc
+++ b/source/frontends/upstream_client.cc
@@ -94,10 +94,11 @@
     if (request.resume_after > 0)
       SetHeader(soup_message, "X-Resume-After",
                 std::to_string(request.resume_after));
+    // why: a new connection for each request costs more than the request
+    soup_message_add_flags(soup_message, SOUP_MESSAGE_IDEMPOTENT);
+  } else {
+    soup_message_add_flags(soup_message, SOUP_MESSAGE_NEW_CONNECTION);
   }
-  // why: on a kept connection the library would send a request again by itself,
-  // unseen by the counts of retries and crashes; and one may have gone silent
-  soup_message_add_flags(soup_message, SOUP_MESSAGE_NEW_CONNECTION);
   soup_message_add_flags(soup_message, SOUP_MESSAGE_NO_REDIRECT);
   auto* run = new Run{.client = this,
                       .number = message.run,
--- a/source/tools/cli/cli_main.cc
+++ b/source/tools/cli/cli_main.cc
@@ -17,6 +17,7 @@
 
 #include "common/error.h"
 #include "common/hashing.h"
+#include "core/config/config_view.h"
 #include "core/config/resources.h"
 #include "frontends/operator_codec.h"
 #include "tools/cli/client.h"
@@ -43,6 +44,7 @@
 Commands
   apply -f FILE...        create or change resources ('-' reads standard input;
                           a file holds one JSON document after another)
+  check -f FILE...        check documents without a router
   get KIND [NAME]         show resources
   delete KIND NAME        delete a resource
   watch KIND              show changes as they come into force, until stopped
@@ -83,6 +85,8 @@
     const std::string& command = m_arguments.command;
     if (command == "apply")
       return Apply();
+    if (command == "check")
+      return Check();
     if (command == "get")
       return Get();
     if (command == "delete")
@@ -137,15 +141,36 @@
     return kExitOk;
   }
 
-  int ApplyFile(const std::string& file) {
-    // why: all documents are checked before the first is sent, so that a
-    // mistake in the last one changes nothing
+  static std::vector<PutResource> DecodeAll(
+      const std::vector<std::string>& documents) {
     std::vector<PutResource> puts;
-    const std::vector<std::string> documents = SplitDocuments(ReadAll(file));
     for (const std::string& document : documents) {
       puts.push_back(DecodeDocument(document));
       ValidateResource(puts.back().resource);
     }
+    return puts;
+  }
+
+  // Checks each document, and that what they name is among them.
+  int Check() {
+    ConfigView view;
+    for (const std::string& file : m_arguments.files) {
+      for (const PutResource& put : DecodeAll(SplitDocuments(ReadAll(file)))) {
+        view.CheckReferences(put.resource);
+        const std::string key =
+            ResourceKey(KindOf(put.resource.spec), put.resource.name);
+        view.Apply({.key = key, .revision = 1, .value = put.resource});
+      }
+      std::cout << file << ": valid\n";
+    }
+    return kExitOk;
+  }
+
+  int ApplyFile(const std::string& file) {
+    // why: all documents are checked before the first is sent, so that a
+    // mistake in the last one changes nothing
+    const std::vector<std::string> documents = SplitDocuments(ReadAll(file));
+    const std::vector<PutResource> puts = DecodeAll(documents);
     for (std::size_t i = 0; i < documents.size(); ++i) {
       const int code = ApplyOne(puts[i].resource, documents[i]);
       if (code != kExitOk)
--- a/source/tools/cli/client.cc
+++ b/source/tools/cli/client.cc
@@ -38,6 +38,8 @@
                                              bytes);
     g_bytes_unref(bytes);
   }
+  if (call.repeatable)
+    soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
   GError* error = nullptr;
   GInputStream* stream = soup_session_send(m_session, message, nullptr, &error);
   std::array<char, 16384> buffer;
--- a/source/tools/cli/client.h
+++ b/source/tools/cli/client.h
@@ -24,6 +24,8 @@
   std::string url;
   std::vector<ClientHeader> headers;
   std::string body;
+  // Uses a kept connection, on which the library may send the call again.
+  bool repeatable = false;
 };
 
 class Client {
--- a/source/tools/standin/engine_standin.cc
+++ b/source/tools/standin/engine_standin.cc
@@ -58,6 +58,7 @@
       return;
     }
     if (m_down) {
+      m_requests_while_down += request.path.starts_with("/v1") ? 1 : 0;
       Cut(request.message);
       return;
     }
@@ -257,6 +258,7 @@
                        ",\"peak_mb\":" + std::to_string(m_peak_mb) +
                        ",\"overcommits\":" + std::to_string(m_overcommits) +
                        ",\"running\":" + std::to_string(m_generations.size());
+    json += ",\"while_down\":" + std::to_string(m_requests_while_down);
     std::int64_t loads = 0;
     for (const auto& [name, count] : m_loads)
       loads += count;
@@ -280,6 +282,7 @@
   std::int64_t m_runs = 0;
   std::int64_t m_crashes = 0;
   std::int64_t m_run = 1;
+  std::int64_t m_requests_while_down = 0;
   bool m_down = false;
   Server m_server;
 };
--- a/source/unit_tests/end_to_end/deployment.cc
+++ b/source/unit_tests/end_to_end/deployment.cc
@@ -93,6 +93,7 @@
                   "[peers]\nendpoint = " + peer + "\nseeds = " + m_seeds +
                       "\n[upstream]\nurl = " + m_programs[upstream].http +
                       "\npool = " + pool + "\nmemory_mb = " + memory +
+                      "\nslots = " + std::to_string(shape.engine_slots) +
                       "\nprogress_timeout_ms = 2000\n");
       };
   for (int i = 0; i < shape.engines; ++i)
@@ -228,6 +229,40 @@
       client.Call({.url = m_programs.at(standin).http + "/stats"}).body, name);
 }
 
+std::string Deployment::HttpOf(const std::string& name) const {
+  return m_programs.at(name).http;
+}
+
+double Deployment::CpuSeconds(const std::string& name) {
+  const char* pid = g_subprocess_get_identifier(m_programs.at(name).process);
+  std::ifstream stat(std::string("/proc/") + pid + "/stat");
+  std::string word;
+  // Fields 14 and 15 are the user and system time in clock ticks.
+  double ticks = 0;
+  for (int field = 1; stat >> word; ++field) {
+    if (field == 14 || field == 15)
+      ticks += std::atof(word.c_str());
+  }
+  return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+std::int64_t Deployment::MemoryKb(const std::string& name) {
+  const char* pid = g_subprocess_get_identifier(m_programs.at(name).process);
+  std::ifstream status(std::string("/proc/") + pid + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmRSS:"))
+      return std::atoll(line.c_str() + 6);
+  }
+  return 0;
+}
+
+double Deployment::IdleCpuPercent(const std::string& name) {
+  constexpr int kSeconds = 10;
+  const double before = CpuSeconds(name);
+  std::this_thread::sleep_for(std::chrono::seconds(kSeconds));
+  return (CpuSeconds(name) - before) * 100 / kSeconds;
+}
+
 void Deployment::SendForeignBytes(const std::string& daemon) {
   const std::string& peer = m_peers.at(daemon);
   GSocketClient* client = g_socket_client_new();
--- a/source/unit_tests/end_to_end/deployment.h
+++ b/source/unit_tests/end_to_end/deployment.h
@@ -29,6 +29,7 @@
     int services = 1;
     unsigned load_ms = 200;
     unsigned token_ms = 10;
+    unsigned engine_slots = 16;
   };
 
   explicit Deployment(const Shape& shape);
@@ -45,6 +46,13 @@
   bool EndedWell(const std::string& name);
   void Fault(const std::string& standin, const std::string& query);
   std::int64_t Stat(const std::string& standin, const std::string& name);
+  std::string HttpOf(const std::string& name) const;
+  // Processor time used by a process over some seconds, in percent of a core.
+  double IdleCpuPercent(const std::string& name);
+  // The resident memory of a process, in KB.
+  std::int64_t MemoryKb(const std::string& name);
+  // Processor time that a process has used, in seconds.
+  double CpuSeconds(const std::string& name);
   // Sends what is no frame to a daemon's peer port.
   void SendForeignBytes(const std::string& daemon);
   // Shows the list of VMs without these.
--- a/source/unit_tests/end_to_end/end_to_end_test.cc
+++ b/source/unit_tests/end_to_end/end_to_end_test.cc
@@ -259,6 +259,20 @@
   }));
 }
 
+// The agent keeps its connections to an engine; the library must not send a
+// request again by itself when one breaks.
+TEST(EndToEnd, ABrokenKeptConnectionIsNotUsedAgainUnseen) {
+  Deployment deployment({.routers = 1, .engines = 1, .services = 0});
+  Warm(deployment, "r0");
+  Warm(deployment, "r0");
+  const Answer answer = deployment.Ask(
+      "r0", {.body = Deployment::Chat("m", kTokens, "CRASH-ENGINE"),
+             .deadline_ms = 250});
+  EXPECT_FALSE(answer.Whole());
+  EXPECT_EQ(deployment.Stat("e0", "crashes"), 1);
+  EXPECT_EQ(deployment.Stat("e0", "while_down"), 0);
+}
+
 TEST(EndToEnd, AWithdrawnKeyEndsTheOpenStream) {
   Deployment deployment({.engines = 1, .services = 0, .token_ms = 50});
   Warm(deployment, "r0");
