--- a/source/core/router/router.cc
+++ b/source/core/router/router.cc
@@ -17,6 +17,7 @@
 // Pages looked at for adoption in each slow tick: few calls a second, over all
 // routers.
 constexpr std::uint32_t kAdoptionsPerTick = 1;
+constexpr Duration kAdoptionPassPeriod = std::chrono::seconds(30);
 constexpr Duration kGiveBackPatience = std::chrono::seconds(5);
 // Calls about pages of once-claims are numbered by the tag and the page.
 constexpr std::uint64_t kOnceCallTag = 0x4f6e6365;
@@ -296,8 +297,17 @@
   const bool listed = m_state.roster.Find(m_state.options.vm) != nullptr;
   if (!listed || m_state.draining)
     return;
-  for (std::uint32_t i = 0; i < kAdoptionsPerTick; ++i) {
-    const std::uint32_t page = m_next_adoption++ % kOncePageCount;
+  // why: an owner is proven gone some seconds after the list has changed
+  const bool pass_due =
+      m_adopting_for != m_state.roster.version() || now >= m_next_adoption_pass;
+  if (pass_due) {
+    m_adopting_for = m_state.roster.version();
+    m_next_adoption_pass = now + kAdoptionPassPeriod;
+    m_pages_to_adopt = kOncePageCount;
+  }
+  for (std::uint32_t i = 0; i < kAdoptionsPerTick && m_pages_to_adopt > 0;
+       ++i) {
+    const std::uint32_t page = --m_pages_to_adopt;
     const std::vector<std::string> order = RendezvousOrder(
         "once-page/" + std::to_string(page), m_state.roster.LiveRouters());
     if (!order.empty() && order.front() == m_state.options.vm)
--- a/source/core/router/router.h
+++ b/source/core/router/router.h
@@ -74,7 +74,10 @@
   std::uint64_t m_share_call = 0;
   TimePoint m_next_quota_poll = TimePoint{};
   TimePoint m_next_slow_tick = TimePoint{};
-  std::uint32_t m_next_adoption = 0;
+  // The pages of claims still to be looked at, and for which list of VMs.
+  std::uint32_t m_pages_to_adopt = 0;
+  std::uint64_t m_adopting_for = 0;
+  TimePoint m_next_adoption_pass = TimePoint{};
   TimePoint m_drain_started = kNever;
   TimePoint m_give_back_started = kNever;
   bool m_drain_done = false;
