Send changes of the list of VMs instead of the whole list

Change: lists travel as changes to a version that the sender has held, applied only to exactly that version; anything else gets the whole list. The check now covers the list, and 3000 cases pass.

--- a/source/benchmarks/capacity_slopes.cc
+++ b/source/benchmarks/capacity_slopes.cc
@@ -192,6 +192,22 @@
                                                    },
                                                    20)});
   }
+  std::vector<Sample> changes;
+  for (const int changed : {1, 10, 100}) {
+    Roster roster;
+    RosterList list = ListOf(11'100);
+    roster.Apply(kStart, list);
+    list.version = 2;
+    for (int i = 0; i < changed; ++i)
+      list.entries[static_cast<std::size_t>(i) * 10].state = VmState::kLeaving;
+    roster.Apply(kStart, list);
+    const PeerSender self{
+        .vm = "router-1", .incarnation = 1, .endpoint = "10.0.0.1:7000"};
+    changes.push_back(
+        {static_cast<double>(changed),
+         static_cast<double>(EncodePeerFrame(self, roster.Since(1)).size())});
+  }
+  PrintSlope("changes of the list by VMs changed", "B", changes);
   PrintSlope("roster, heap by VMs", "B", memory);
   PrintSlope("list of VMs frame by VMs", "B", bytes);
   PrintSlope("list applied, by VMs", "us", apply);
--- a/source/core/feed/feed_node.cc
+++ b/source/core/feed/feed_node.cc
@@ -160,7 +160,8 @@
   subscriber.heard = now;
   subscriber.behind = {.nodes = subscribe.nodes,
                        .lowest = subscribe.lowest_in_force};
-  SendNews(subscriber, &roster.list());
+  SendFeedNews(subscriber);
+  SendRosterNews(subscriber, roster);
   const InForce behind = InForceBehind(now);
   if (HasView()) {
     m_effects.push_back(
@@ -173,24 +174,32 @@
   }
 }
 
-void FeedNode::SendNews(Subscriber& subscriber, const RosterList* list) {
-  const bool feed_news = HasView() && (subscriber.sent < m_store.revision());
-  if (feed_news) {
-    m_effects.push_back(
-        SendToEndpoint{.endpoint = subscriber.endpoint,
-                       .message = m_store.Since(subscriber.sent)});
-    subscriber.sent = m_store.revision();
-  }
-  if (list != nullptr && subscriber.roster_sent < list->version) {
-    m_effects.push_back(
-        SendToEndpoint{.endpoint = subscriber.endpoint, .message = *list});
-    subscriber.roster_sent = list->version;
-  }
+void FeedNode::SendFeedNews(Subscriber& subscriber) {
+  if (!HasView() || subscriber.sent >= m_store.revision())
+    return;
+  m_effects.push_back(
+      SendToEndpoint{.endpoint = subscriber.endpoint,
+                     .message = m_store.Since(subscriber.sent)});
+  subscriber.sent = m_store.revision();
+}
+
+void FeedNode::SendRosterNews(Subscriber& subscriber, const Roster& roster) {
+  if (subscriber.roster_sent >= roster.version())
+    return;
+  m_effects.push_back(
+      SendToEndpoint{.endpoint = subscriber.endpoint,
+                     .message = roster.Since(subscriber.roster_sent)});
+  subscriber.roster_sent = roster.version();
 }
 
 void FeedNode::Publish() {
   for (auto& [vm, subscriber] : m_subscribers)
-    SendNews(subscriber, nullptr);
+    SendFeedNews(subscriber);
+}
+
+void FeedNode::PublishRoster(const Roster& roster) {
+  for (auto& [vm, subscriber] : m_subscribers)
+    SendRosterNews(subscriber, roster);
 }
 
 void FeedNode::HandleFresh(TimePoint now,
@@ -233,12 +242,13 @@
 void FeedNode::HandleRosterList(TimePoint /*now*/,
                                 const RosterList& list,
                                 const Roster& roster) {
-  if (list.version <= roster.version() && roster.version() != 0)
+  const bool known = list.version <= roster.version() && roster.version() != 0;
+  // why: changes to another version than the one held are asked for again, with
+  // the version that is held
+  if (known || (list.base != 0 && list.base != roster.version()))
     return;
   m_roster_version = list.version;
   m_effects.push_back(RosterReplaced{.list = list});
-  for (auto& [vm, subscriber] : m_subscribers)
-    SendNews(subscriber, &list);
 }
 
 void FeedNode::PlatformUpdate(TimePoint now, const FeedUpdate& update) {
--- a/source/core/feed/feed_node.h
+++ b/source/core/feed/feed_node.h
@@ -93,6 +93,9 @@
                         const RosterList& list,
                         const Roster& roster);
 
+  // After the owner has taken a list over: tells the subscribers.
+  void PublishRoster(const Roster& roster);
+
   // From the platform's service, by the watch of this node.
   void PlatformUpdate(TimePoint now, const FeedUpdate& update);
   void PlatformLost(TimePoint now);
@@ -143,7 +146,8 @@
   void SubscribeElsewhere(TimePoint now, const Roster& roster);
   void Accept(TimePoint now, const FeedUpdate& update);
   void Publish();
-  void SendNews(Subscriber& subscriber, const RosterList* list);
+  void SendFeedNews(Subscriber& subscriber);
+  void SendRosterNews(Subscriber& subscriber, const Roster& roster);
 
   FeedNodeOptions m_options;
   FeedStore m_store;
--- a/source/core/roster/roster.cc
+++ b/source/core/roster/roster.cc
@@ -6,13 +6,20 @@
 
 bool Roster::Apply(TimePoint now, RosterList list) {
   const bool first = m_first_list == kNever;
-  if (!first && list.version <= m_list.version)
+  const bool fits = list.base == 0 || (!first && list.base == m_list.version);
+  if (!fits || (!first && list.version <= m_list.version))
     return false;
-  if (first)
+  if (list.base != 0)
+    list = Merge(m_list, list);
+  if (first) {
     m_first_list = now;
+    m_held.insert(list.version);
+  }
   const RosterList before = std::move(m_list);
   m_list = std::move(list);
   Index();
+  if (!first)
+    RecordChanges(before);
   for (const RosterEntry& entry : before.entries) {
     if (!m_index.contains(entry.vm))
       m_missing_since.try_emplace(entry.vm, now);
@@ -22,6 +29,61 @@
   return true;
 }
 
+RosterList Roster::Merge(const RosterList& held, const RosterList& changes) {
+  std::map<std::string, const RosterEntry*> merged;
+  for (const RosterEntry& entry : held.entries)
+    merged[entry.vm] = &entry;
+  for (const std::string& vm : changes.gone)
+    merged.erase(vm);
+  for (const RosterEntry& entry : changes.entries)
+    merged[entry.vm] = &entry;
+  RosterList whole{.version = changes.version};
+  for (const auto& [vm, entry] : merged)
+    whole.entries.push_back(*entry);
+  return whole;
+}
+
+void Roster::RecordChanges(const RosterList& before) {
+  std::map<std::string, const RosterEntry*> held;
+  for (const RosterEntry& entry : before.entries)
+    held[entry.vm] = &entry;
+  for (const RosterEntry& entry : m_list.entries) {
+    const auto known = held.find(entry.vm);
+    if (known == held.end() || *known->second != entry)
+      m_changed_at[entry.vm] = m_list.version;
+    if (known != held.end())
+      held.erase(known);
+  }
+  for (const auto& [vm, entry] : held) {
+    m_gone_at[vm] = m_list.version;
+    m_changed_at.erase(vm);
+  }
+  m_held.insert(m_list.version);
+  // why: who holds a version that is not remembered gets the whole list
+  constexpr std::size_t kMaxHeld = 1'000;
+  if (m_held.size() <= kMaxHeld)
+    return;
+  m_held.erase(m_held.begin());
+  const std::uint64_t oldest = *m_held.begin();
+  std::erase_if(m_gone_at,
+                [&](const auto& entry) { return entry.second <= oldest; });
+}
+
+RosterList Roster::Since(std::uint64_t version) const {
+  if (!m_held.contains(version))
+    return m_list;
+  RosterList changes{.version = m_list.version, .base = version};
+  for (const auto& [vm, changed_at] : m_changed_at) {
+    if (changed_at > version)
+      changes.entries.push_back(*Find(vm));
+  }
+  for (const auto& [vm, gone_at] : m_gone_at) {
+    if (gone_at > version)
+      changes.gone.push_back(vm);
+  }
+  return changes;
+}
+
 void Roster::Index() {
   m_index.clear();
   m_live_routers.clear();
--- a/source/core/roster/roster.h
+++ b/source/core/roster/roster.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,8 +32,8 @@
 
 class Roster {
  public:
-  // Takes a list over; an older one changes nothing. Returns whether anything
-  // changed.
+  // Takes a list or changes over; older ones, and changes that begin after what
+  // is held, change nothing. Returns whether anything changed.
   bool Apply(TimePoint now, RosterList list);
 
   // Direct evidence: a run of `vm` has spoken. An earlier run of the same VM is
@@ -40,7 +41,11 @@
   void Heard(const std::string& vm, Incarnation incarnation);
 
   std::uint64_t version() const { return m_list.version; }
+  // Always whole.
   const RosterList& list() const { return m_list; }
+  // What a node that holds `version` lacks: changes where they are known, else
+  // the whole list.
+  RosterList Since(std::uint64_t version) const;
 
   const RosterEntry* Find(const std::string& vm) const;
 
@@ -60,6 +65,8 @@
 
  private:
   void Index();
+  static RosterList Merge(const RosterList& held, const RosterList& changes);
+  void RecordChanges(const RosterList& before);
 
   RosterList m_list;
   std::map<std::string, std::size_t> m_index;
@@ -67,6 +74,11 @@
   // When a VM was first missed.
   std::map<std::string, TimePoint> m_missing_since;
   TimePoint m_first_list = kNever;
+  // The version of each VM's last change, and of its leaving.
+  std::map<std::string, std::uint64_t> m_changed_at;
+  std::map<std::string, std::uint64_t> m_gone_at;
+  // The versions that this node has held: changes since them are known.
+  std::set<std::uint64_t> m_held;
   std::map<std::string, Incarnation> m_latest_run;
 };
 
--- a/source/core/roster/roster_entry.h
+++ b/source/core/roster/roster_entry.h
@@ -41,10 +41,16 @@
   bool operator==(const RosterEntry&) const = default;
 };
 
-// The platform's list; `version` grows with each change.
+// The platform's list, whole or as changes; `version` grows with each change.
 struct RosterList {
   std::uint64_t version = 0;
   std::vector<RosterEntry> entries;
+  // 0 for a whole list. Else the entries are those that differ from this
+  // version, and `gone` names the VMs of that version that are not in it. The
+  // changes fit on exactly that version: what came and went in between, their
+  // sender may never have seen.
+  std::uint64_t base = 0;
+  std::vector<std::string> gone;
 };
 
 }  // namespace boragepick
--- a/source/core/router/router.cc
+++ b/source/core/router/router.cc
@@ -173,23 +173,31 @@
 // -------------------------------------------------------------------------
 
 void Router::CollectFeed(TimePoint now) {
-  for (FeedEffect& effect : m_state.feed.TakeEffects()) {
-    std::visit(
-        [&](auto&& held) {
-          using Held = std::remove_cvref_t<decltype(held)>;
-          if constexpr (std::is_same_v<Held, FeedChanged>)
-            ApplyConfig(now, held);
-          else if constexpr (std::is_same_v<Held, RosterReplaced>)
-            ApplyRoster(now, held.list);
-          else if constexpr (std::is_same_v<Held, RelayReplaced>)
-            m_state.Log(LogEvent::kRelayChanged, {{"relay", held.relay}});
-          else
-            m_state.Emit(std::forward<decltype(held)>(held));
-        },
-        std::move(effect));
+  // why: a list taken over is passed on at once, as further effects
+  std::vector<FeedEffect> effects = m_state.feed.TakeEffects();
+  while (!effects.empty()) {
+    for (FeedEffect& effect : effects)
+      CarryFeedEffect(now, std::move(effect));
+    effects = m_state.feed.TakeEffects();
   }
 }
 
+void Router::CarryFeedEffect(TimePoint now, FeedEffect effect) {
+  std::visit(
+      [&](auto&& held) {
+        using Held = std::remove_cvref_t<decltype(held)>;
+        if constexpr (std::is_same_v<Held, FeedChanged>)
+          ApplyConfig(now, held);
+        else if constexpr (std::is_same_v<Held, RosterReplaced>)
+          ApplyRoster(now, held.list);
+        else if constexpr (std::is_same_v<Held, RelayReplaced>)
+          m_state.Log(LogEvent::kRelayChanged, {{"relay", held.relay}});
+        else
+          m_state.Emit(std::forward<decltype(held)>(held));
+      },
+      std::move(effect));
+}
+
 void Router::ApplyConfig(TimePoint now, const FeedChanged& changed) {
   using Origin = QuotaDesk::TeamOrigin;
   const Origin origin =
@@ -215,6 +223,7 @@
 void Router::ApplyRoster(TimePoint now, const RosterList& list) {
   if (!m_state.roster.Apply(now, list))
     return;
+  m_state.feed.PublishRoster(m_state.roster);
   m_state.quota.SetSelfListedVersion(list.version);
   m_state.once.SetSelfListedVersion(list.version);
   m_state.Log(LogEvent::kRosterChanged,
--- a/source/core/router/router.h
+++ b/source/core/router/router.h
@@ -55,6 +55,7 @@
 
   // Carries on what the parts left as effects of their own.
   void CollectFeed(TimePoint now);
+  void CarryFeedEffect(TimePoint now, FeedEffect effect);
   void CollectOnce(TimePoint now);
   void ApplyConfig(TimePoint now, const FeedChanged& changed);
   void ApplyRoster(TimePoint now, const RosterList& list);
--- a/source/unit_tests/core/feed_test.cc
+++ b/source/unit_tests/core/feed_test.cc
@@ -8,6 +8,7 @@
 #include <rapidcheck/gtest.h>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -123,8 +124,24 @@
       Step();
   }
 
+  // A VM that is no node of this fleet joins or leaves the list.
+  void ChangeList(std::uint64_t number) {
+    const std::string vm = "other-" + std::to_string(number);
+    const auto gone =
+        std::erase_if(m_list.entries,
+                      [&](const RosterEntry& entry) { return entry.vm == vm; });
+    if (gone == 0)
+      m_list.entries.push_back({.vm = vm,
+                                .data_centre = "c",
+                                .role = NodeRole::kAgent,
+                                .peer_endpoint = vm});
+    ++m_list.version;
+  }
+
   bool AllInForce() const {
     for (const auto& [vm, node] : m_nodes) {
+      if (node.alive && !SameList(node.roster.list()))
+        return false;
       const bool same = node.view.size() == service.items.size();
       if (node.alive && (!same || node.highest < service.revision))
         return false;
@@ -139,6 +156,16 @@
   }
 
  private:
+  bool SameList(const RosterList& list) const {
+    std::set<std::string> left;
+    std::set<std::string> right;
+    for (const RosterEntry& entry : list.entries)
+      left.insert(entry.vm);
+    for (const RosterEntry& entry : m_list.entries)
+      right.insert(entry.vm);
+    return left == right && list.version == m_list.version;
+  }
+
   void Boot(Node& node) {
     const RosterEntry* entry = nullptr;
     for (const RosterEntry& each : m_list.entries) {
@@ -200,7 +227,8 @@
         for (const FeedItem& item : changed->items)
           Apply(node, item);
       } else if (auto* roster = std::get_if<RosterReplaced>(&effect)) {
-        node.roster.Apply(m_now, roster->list);
+        if (node.roster.Apply(m_now, roster->list))
+          node.feed->PublishRoster(node.roster);
       } else if (std::holds_alternative<StartWatch>(effect)) {
         node.watching = true;
         node.silent = false;
@@ -266,6 +294,10 @@
       case 2:
         fleet.Silence(vm);
         break;
+      case 5:
+      case 6:
+        fleet.ChangeList(random.Below(4));
+        break;
       case 3:
       case 4:
         if (!fleet.service.down)
--- a/source/wire/record_codec.cc
+++ b/source/wire/record_codec.cc
@@ -138,6 +138,9 @@
 
 void ToWire(const RosterList& list, wire::RosterList& out) {
   out.set_version(list.version);
+  out.set_base(list.base);
+  for (const std::string& vm : list.gone)
+    out.add_gone(vm);
   for (const RosterEntry& entry : list.entries) {
     wire::RosterEntry& added = *out.add_entries();
     added.set_vm(entry.vm);
@@ -151,7 +154,9 @@
 }
 
 RosterList FromWire(const wire::RosterList& in) {
-  RosterList list{.version = in.version()};
+  RosterList list{.version = in.version(),
+                  .base = in.base(),
+                  .gone = {in.gone().begin(), in.gone().end()}};
   for (const wire::RosterEntry& entry : in.entries()) {
     const std::optional<NodeRole> role = kNodeRoleNames.Find(entry.role());
     const std::optional<VmState> state = kVmStateNames.Find(entry.state());
