--- a/source/benchmarks/path_benchmark.cc
+++ b/source/benchmarks/path_benchmark.cc
@@ -71,6 +71,7 @@
   Latencies all;
   std::mutex mutex;
   std::vector<std::thread> threads;
+  threads.reserve(kPacedThreads);
   const auto end = Clock::now() + 2 * kPhase;
   const auto period =
       microseconds(1'000'000 * kPacedThreads / kRequestsPerSecond);
@@ -113,6 +114,7 @@
   std::atomic<std::int64_t> done = 0;
   std::atomic<std::int64_t> failed = 0;
   std::vector<std::thread> callers;
+  callers.reserve(static_cast<std::size_t>(threads));
   const auto end = Clock::now() + kPhase;
   for (int t = 0; t < threads; ++t) {
     callers.emplace_back([&] {
--- a/source/core/agent/run_desk.cc
+++ b/source/core/agent/run_desk.cc
@@ -379,9 +379,13 @@
     return;
   const AgentReport report = Report();
   ReportReleases(now, report);
-  if (report == m_reported)
+  const bool moved =
+      report.leaving != m_reported.leaving || report.units != m_reported.units;
+  const bool load_due = now >= m_next_load_report && report != m_reported;
+  if (!moved && !load_due)
     return;
   m_next_report = now + kReportPeriod;
+  m_next_load_report = now + kLoadReportPeriod;
   m_reported = report;
   for (const auto& [vm, router] : m_routers)
     m_state.Emit(
--- a/source/core/agent/run_desk.h
+++ b/source/core/agent/run_desk.h
@@ -35,7 +35,11 @@
   // Ended attempts are remembered for so long, so that a late doubled request
   // is not run again.
   static constexpr Duration kEndedLife = std::chrono::seconds(60);
-  static constexpr Duration kReportPeriod = std::chrono::milliseconds(500);
+  // Changes of the load alone are reported so often; they also travel with the
+  // end of each run.
+  static constexpr Duration kLoadReportPeriod = std::chrono::seconds(5);
+  // Other changes at most so often.
+  static constexpr Duration kReportPeriod = std::chrono::milliseconds(100);
   // Routers that sent nothing for so long get no reports.
   static constexpr Duration kRouterLife = std::chrono::seconds(10);
 
@@ -129,6 +133,7 @@
   bool m_closed = false;
   AgentReport m_reported;
   TimePoint m_next_report = TimePoint{};
+  TimePoint m_next_load_report = TimePoint{};
   TimePoint m_next_release_report = TimePoint{};
   RunMetrics m_metrics;
 };
--- a/source/core/feed/feed_node.cc
+++ b/source/core/feed/feed_node.cc
@@ -23,12 +23,27 @@
       roster.LiveRoutersIn(m_options.data_centre);
   if (routers.empty())
     routers = roster.LiveRouters();
-  // why: the routers of a data centre must agree on one relay, while agents
-  // spread over the routers
-  const bool is_router = m_options.role == NodeRole::kRouter;
-  const std::string duty = is_router ? "feed-relay/" + m_options.data_centre
-                                     : "feed-relay-of/" + m_options.vm;
-  return RendezvousOrder(duty, routers);
+  if (m_options.role == NodeRole::kAgent)
+    return RendezvousOrder("feed-relay-of/" + m_options.vm, routers);
+  return AncestorsInTree(
+      RendezvousOrder("feed-relay/" + m_options.data_centre, routers));
+}
+
+std::vector<std::string> FeedNode::AncestorsInTree(
+    const std::vector<std::string>& order) const {
+  const auto self = std::ranges::find(order, m_options.vm);
+  // why: a router that the list doesn't show yet may follow any; it asks the
+  // last ones, so that the first don't carry all the newcomers
+  if (self == order.end())
+    return {order.rbegin(), order.rend()};
+  std::vector<std::string> ancestors;
+  auto index = static_cast<std::size_t>(self - order.begin());
+  while (index > 0) {
+    index = (index - 1) / kFanOut;
+    ancestors.push_back(order[index]);
+  }
+  ancestors.push_back(m_options.vm);
+  return ancestors;
 }
 
 void FeedNode::Tick(TimePoint now, const Roster& roster) {
--- a/source/core/feed/feed_node.h
+++ b/source/core/feed/feed_node.h
@@ -1,6 +1,6 @@
 // The configuration feed at one node. In each data centre one router, found by
-// rendezvous hashing, watches the platform's service; the other routers
-// subscribe to it and the agents to the routers. Any router can watch at any
+// rendezvous hashing, watches the platform's service; the other routers follow
+// it in a tree and the agents follow the routers. Any router can watch at any
 // time: a relay that falls silent is passed over.
 #pragma once
 
@@ -64,6 +64,8 @@
 
 class FeedNode {
  public:
+  // Routers that follow one router.
+  static constexpr std::size_t kFanOut = 4;
   static constexpr Duration kSubscribePeriod = std::chrono::seconds(1);
   // A relay that has not answered for so long is passed over.
   static constexpr Duration kRelayTimeout = std::chrono::milliseconds(2500);
@@ -132,6 +134,10 @@
     InForce behind;
   };
 
+  // The relays that this node may follow, the wanted one first; a router's own
+  // name stands for watching itself.
+  std::vector<std::string> AncestorsInTree(
+      const std::vector<std::string>& order) const;
   std::vector<std::string> RelayOrder(const Roster& roster) const;
   void ChooseRelay(TimePoint now, const Roster& roster);
   void FollowRelay(TimePoint now, const Roster& roster);
--- a/source/core/quota/quota_desk.cc
+++ b/source/core/quota/quota_desk.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // The purse aims to hold what is spent in so long.
-constexpr Duration kAskAhead = std::chrono::milliseconds(400);
+constexpr Duration kAskAhead = std::chrono::milliseconds(800);
 // Weight of the newest measurement in the smoothed spend rate.
 constexpr double kSpendSmoothing = 0.3;
 // A router borrows from its own share for so many requests at a time; what is
@@ -174,7 +174,10 @@
   const Tokens wanted = std::max({ahead, team.waiting_first, team.waiting_all});
   const Tokens useful = std::min<Tokens>(wanted, team.spec.burst_tokens);
   team.purse.ReturnIdle(now, useful);
-  return useful - team.purse.Available(now) - team.purse.Awaited(now);
+  const Tokens held = team.purse.Available(now) + team.purse.Awaited(now);
+  // why: topping up at each poll would cost a message each time
+  const bool enough = held >= useful / 2 && held >= team.waiting_all;
+  return enough ? 0 : useful - held;
 }
 
 void QuotaDesk::PollTeam(TimePoint now,
