--- a/source/unit_tests/end_to_end/deployment.cc
+++ b/source/unit_tests/end_to_end/deployment.cc
@@ -139,7 +139,8 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
+    throw Error(Step::kListen, "loopback", "no free port");
   socklen_t size = sizeof(address);
   getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
   close(fd);
--- a/source/unit_tests/end_to_end/end_to_end_test.cc
+++ b/source/unit_tests/end_to_end/end_to_end_test.cc
@@ -115,6 +115,7 @@
 TEST(EndToEnd, ManyFirstRequestsCauseOneLoad) {
   Deployment deployment({.routers = 3, .engines = 2, .services = 0});
   std::vector<std::thread> callers;
+  callers.reserve(30);
   std::atomic<int> whole = 0;
   for (int i = 0; i < 30; ++i) {
     callers.emplace_back([&, i] {
@@ -156,6 +157,7 @@
   Deployment deployment({.routers = 3, .engines = 0, .services = 2});
   std::atomic<int> done = 0;
   std::vector<std::thread> callers;
+  callers.reserve(6);
   for (int i = 0; i < 6; ++i) {
     callers.emplace_back([&, i] {
       for (int n = 0; n < 25; ++n) {
@@ -199,6 +201,7 @@
 TEST(EndToEnd, AnAgentKilledMidLoadLosesNoRequest) {
   Deployment deployment({.engines = 2, .services = 0, .load_ms = 1500});
   std::vector<std::thread> callers;
+  callers.reserve(6);
   std::atomic<int> whole = 0;
   for (int i = 0; i < 6; ++i) {
     callers.emplace_back([&, i] {
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -201,7 +201,7 @@
     ParseSettings(text, "a.ini");
     FAIL() << "accepted";
   } catch (const Error& error) {
-    const std::string what = error.reason();
+    const std::string& what = error.reason();
     EXPECT_NE(what.find("a.ini:2: [node] role expected one of router, agent"),
               std::string::npos);
     EXPECT_NE(what.find("a.ini:4: [node] colour is not a known key"),
