Connect directly, never through a proxy of the environment

Cause: the HTTP library looked up a proxy for each connection; a router tried with example addresses got its answer from one. Both daemons' start also stood twice in process.cc. Change: sessions without a proxy resolver; reads of the service on kept connections; one Daemon template and one Outlet template for both roles.

--- a/source/frontends/platform_client.cc
+++ b/source/frontends/platform_client.cc
@@ -1,6 +1,7 @@
 #include "frontends/platform_client.h"
 
 #include <memory>
+#include <string_view>
 #include <utility>
 
 #include "common/error.h"
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr unsigned kWatchAgainMs = 300;
+constexpr int kConnections = 32;
+constexpr unsigned kIdleSeconds = 5;
 constexpr std::uint32_t kStatusOk = 200;
 constexpr std::uint32_t kStatusNotModified = 304;
 
@@ -30,14 +33,8 @@
     : m_loop(loop),
       m_options(std::move(options)),
       m_outlet(std::move(outlet)),
-      m_session(soup_session_new_with_options("max-conns",
-                                              64,
-                                              "max-conns-per-host",
-                                              32,
-                                              "idle-timeout",
-                                              5,
-                                              nullptr)),
-      m_watch_session(soup_session_new()) {}
+      m_session(NewDirectSession(kConnections, kIdleSeconds)),
+      m_watch_session(NewDirectSession(kConnections, kIdleSeconds)) {}
 
 PlatformClient::~PlatformClient() {
   CloseWatch();
@@ -57,7 +54,8 @@
   CallHttp(m_session,
            {.url = m_options.key_value_url + path,
             .body = std::move(body),
-            .timeout_ms = m_options.timeout_ms},
+            .timeout_ms = m_options.timeout_ms,
+            .repeatable = path == std::string_view(kRangePath)},
            std::move(handler));
 }
 
--- a/source/frontends/process.cc
+++ b/source/frontends/process.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <functional>
 #include <type_traits>
 
 #include "core/agent/agent.h"
@@ -103,112 +104,124 @@
   tasks.Carry(std::move(effect));
 };
 
-class RouterOutlet {
+// Carries a machine's effects to the tasks: `Other` is the task that only one
+// role has, towards the platform or the upstream.
+template <typename Effect, typename OtherMessage>
+class Outlet {
  public:
-  RouterOutlet(CommonTasks common, GlibTask<PlatformMessage>& platform)
-      : m_common(common), m_platform(platform) {}
+  Outlet(CommonTasks common, GlibTask<OtherMessage>& other)
+      : m_common(common), m_other(other) {}
 
-  void Carry(RouterEffect effect) {
+  void Carry(Effect effect) {
     std::visit([this](auto& held) { Route(std::move(held)); }, effect);
   }
   void ReadyChanged(bool ready) { m_common.ReadyChanged(ready); }
 
  private:
-  template <typename Effect>
-  void Route(Effect effect) {
-    if constexpr (CommonEffect<Effect>)
-      m_common.Carry(std::move(effect));
-    else if constexpr (std::is_constructible_v<FrontMessage, Effect>)
-      m_common.front.Post(std::move(effect));
+  template <typename Held>
+  void Route(Held held) {
+    if constexpr (CommonEffect<Held>)
+      m_common.Carry(std::move(held));
+    else if constexpr (std::is_constructible_v<FrontMessage, Held>)
+      m_common.front.Post(std::move(held));
     else
-      m_platform.Post(std::move(effect));
+      m_other.Post(std::move(held));
   }
 
   CommonTasks m_common;
-  GlibTask<PlatformMessage>& m_platform;
+  GlibTask<OtherMessage>& m_other;
 };
 
-class AgentOutlet {
+// One machine with the tasks round it.
+template <Machine M, typename OtherMessage>
+class Daemon {
  public:
-  AgentOutlet(CommonTasks common, GlibTask<UpstreamMessage>& upstream)
-      : m_common(common), m_upstream(upstream) {}
-
-  void Carry(AgentEffect effect) {
-    std::visit([this](auto& held) { Route(std::move(held)); }, effect);
+  using Event = typename M::Event;
+
+  Daemon(const DaemonSettings& settings, Incarnation incarnation, M& machine)
+      : m_settings(settings),
+        m_incarnation(incarnation),
+        m_log(settings.log_file, settings.log_decisions),
+        m_peers(MakePeerOptions(settings, incarnation),
+                {.received = ToMachine(), .log = ToLog()}),
+        m_outlet({.log = m_log, .peers = m_peers, .front = m_front}, m_other),
+        m_machine(machine, m_outlet) {}
+
+  std::function<void(Event)> ToMachine() {
+    return [this](Event event) { m_machine.Post(std::move(event)); };
   }
-  void ReadyChanged(bool ready) { m_common.ReadyChanged(ready); }
-
- private:
-  template <typename Effect>
-  void Route(Effect effect) {
-    if constexpr (CommonEffect<Effect>)
-      m_common.Carry(std::move(effect));
-    else
-      m_upstream.Post(std::move(effect));
+  std::function<void(LogRecord)> ToLog() {
+    return [this](LogRecord record) { m_log.Post(std::move(record)); };
+  }
+  GlibTask<OtherMessage>& other() { return m_other; }
+
+  // Serves until it was asked to stop and nothing is left to do.
+  void Run(FrontOutlet front) {
+    front.operator_asked = [post = ToMachine()](OperatorRequest request) {
+      post(OperatorAsked{std::move(request)});
+    };
+    front.answers_finished = ReportEnd;
+    try {
+      m_front.Start<HttpFront>(MakeFrontOptions(m_settings, m_incarnation),
+                               std::move(front));
+    } catch (...) {
+      // why: it posts to the machine, which is destroyed before it
+      m_other.Stop();
+      throw;
+    }
+    m_peers.Start();
+    m_machine.Start();
+    m_log.Post(StartedRecord(m_settings, m_incarnation));
+    WaitForEnd([this] { m_machine.Post(DrainAsked{}); });
+    m_machine.Stop();
+    m_front.Stop();
+    m_other.Stop();
+    m_peers.Stop();
+    m_log.Post(
+        {.event = LogEvent::kStopped, .fields = {{"vm", m_settings.vm}}});
   }
 
-  CommonTasks m_common;
-  GlibTask<UpstreamMessage>& m_upstream;
+ private:
+  const DaemonSettings& m_settings;
+  Incarnation m_incarnation;
+  LogTask m_log;
+  GlibTask<FrontMessage> m_front;
+  GlibTask<OtherMessage> m_other;
+  PeerTask m_peers;
+  Outlet<typename M::Effect, OtherMessage> m_outlet;
+  MachineTask<M, Outlet<typename M::Effect, OtherMessage>> m_machine;
 };
 
 }  // namespace
 
 void RunRouter(const DaemonSettings& settings) {
+  using std::chrono::milliseconds;
   const Incarnation incarnation = NewIncarnation();
-  LogTask log(settings.log_file, settings.log_decisions);
-  Router router(
-      {.vm = settings.vm,
-       .data_centre = settings.data_centre,
-       .incarnation = incarnation,
-       .endpoint = settings.peer_endpoint,
-       .seeds = settings.seeds,
-       .random_seed = incarnation,
-       .drain_grace = std::chrono::milliseconds(settings.drain_grace_ms)});
-  GlibTask<FrontMessage> front;
-  GlibTask<PlatformMessage> platform;
-  MachineTask<Router, RouterOutlet>* machine = nullptr;
-  const auto to_machine = [&machine](RouterEvent event) {
-    machine->Post(std::move(event));
-  };
-  const auto to_log = [&log](LogRecord record) { log.Post(std::move(record)); };
-  PeerTask peers(MakePeerOptions(settings, incarnation),
-                 {.received = to_machine, .log = to_log});
-  RouterOutlet outlet({.log = log, .peers = peers, .front = front}, platform);
-  MachineTask<Router, RouterOutlet> machine_task(router, outlet);
-  machine = &machine_task;
-  platform.Start<PlatformClient>(
+  Router router({.vm = settings.vm,
+                 .data_centre = settings.data_centre,
+                 .incarnation = incarnation,
+                 .endpoint = settings.peer_endpoint,
+                 .seeds = settings.seeds,
+                 .random_seed = incarnation,
+                 .drain_grace = milliseconds(settings.drain_grace_ms)});
+  Daemon<Router, PlatformMessage> daemon(settings, incarnation, router);
+  daemon.other().Start<PlatformClient>(
       PlatformOptions{
           .key_value_url = settings.platform_url,
           .vm_list_url = settings.vm_list_url,
           .timeout_ms = static_cast<unsigned>(settings.platform_timeout_ms)},
-      PlatformOutlet{.event = to_machine, .log = to_log});
-  front.Start<HttpFront>(
-      MakeFrontOptions(settings, incarnation),
-      FrontOutlet{
-          .caller_arrived =
-              [=](CallerRequest request) {
-                to_machine(CallerArrived{std::move(request)});
-              },
-          .caller_gone = [=](RequestId id) { to_machine(CallerGone{id}); },
-          .operator_asked =
-              [=](OperatorRequest request) {
-                to_machine(OperatorAsked{std::move(request)});
-              },
-          .answers_finished = ReportEnd});
-  peers.Start();
-  machine_task.Start();
-  log.Post(StartedRecord(settings, incarnation));
-  WaitForEnd([&] { machine_task.Post(DrainAsked{}); });
-  machine_task.Stop();
-  front.Stop();
-  platform.Stop();
-  peers.Stop();
-  log.Post({.event = LogEvent::kStopped, .fields = {{"vm", settings.vm}}});
+      PlatformOutlet{.event = daemon.ToMachine(), .log = daemon.ToLog()});
+  const auto post = daemon.ToMachine();
+  daemon.Run({.caller_arrived =
+                  [post](CallerRequest request) {
+                    post(CallerArrived{std::move(request)});
+                  },
+              .caller_gone = [post](RequestId id) { post(CallerGone{id}); }});
 }
 
 void RunAgent(const DaemonSettings& settings) {
+  using std::chrono::milliseconds;
   const Incarnation incarnation = NewIncarnation();
-  LogTask log(settings.log_file, settings.log_decisions);
   Agent agent(
       {.vm = settings.vm,
        .data_centre = settings.data_centre,
@@ -219,45 +232,17 @@
        .memory_mb = static_cast<std::uint64_t>(settings.upstream_memory_mb),
        .slots = static_cast<std::uint32_t>(settings.upstream_slots),
        .max_waiting = static_cast<std::uint32_t>(settings.upstream_max_waiting),
-       .progress_timeout =
-           std::chrono::milliseconds(settings.upstream_progress_ms),
-       .drain_grace = std::chrono::milliseconds(settings.drain_grace_ms)});
-  GlibTask<FrontMessage> front;
-  GlibTask<UpstreamMessage> upstream;
-  MachineTask<Agent, AgentOutlet>* machine = nullptr;
-  const auto to_machine = [&machine](AgentEvent event) {
-    machine->Post(std::move(event));
-  };
-  const auto to_log = [&log](LogRecord record) { log.Post(std::move(record)); };
-  PeerTask peers(MakePeerOptions(settings, incarnation),
-                 {.received = to_machine, .log = to_log});
-  AgentOutlet outlet({.log = log, .peers = peers, .front = front}, upstream);
-  MachineTask<Agent, AgentOutlet> machine_task(agent, outlet);
-  machine = &machine_task;
-  upstream.Start<UpstreamClient>(
+       .progress_timeout = milliseconds(settings.upstream_progress_ms),
+       .drain_grace = milliseconds(settings.drain_grace_ms)});
+  Daemon<Agent, UpstreamMessage> daemon(settings, incarnation, agent);
+  daemon.other().Start<UpstreamClient>(
       UpstreamOptions{
           .url = settings.upstream_url,
           .engine = settings.upstream_pool == kModelPool,
           .slots = static_cast<unsigned>(settings.upstream_slots),
           .load_timeout_ms = static_cast<unsigned>(settings.load_timeout_ms)},
-      UpstreamOutlet(to_machine));
-  front.Start<HttpFront>(
-      MakeFrontOptions(settings, incarnation),
-      FrontOutlet{.caller_gone = [](RequestId) {},
-                  .operator_asked =
-                      [=](OperatorRequest request) {
-                        to_machine(OperatorAsked{std::move(request)});
-                      },
-                  .answers_finished = ReportEnd});
-  peers.Start();
-  machine_task.Start();
-  log.Post(StartedRecord(settings, incarnation));
-  WaitForEnd([&] { machine_task.Post(DrainAsked{}); });
-  machine_task.Stop();
-  front.Stop();
-  upstream.Stop();
-  peers.Stop();
-  log.Post({.event = LogEvent::kStopped, .fields = {{"vm", settings.vm}}});
+      UpstreamOutlet(daemon.ToMachine()));
+  daemon.Run({.caller_gone = [](RequestId) {}});
 }
 
 }  // namespace boragepick
--- a/source/frontends/soup_call.cc
+++ b/source/frontends/soup_call.cc
@@ -50,6 +50,12 @@
 
 }  // namespace
 
+SoupSession* NewDirectSession(int connections, unsigned idle_seconds) {
+  return soup_session_new_with_options(
+      "proxy-resolver", nullptr, "max-conns", connections, "max-conns-per-host",
+      connections, "idle-timeout", idle_seconds, nullptr);
+}
+
 bool MeansNotSent(const GError* error) {
   return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
          g_error_matches(error, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE) ||
@@ -65,6 +71,8 @@
     handler({.not_sent = true, .detail = "not a URL: " + request.url});
     return;
   }
+  if (request.repeatable)
+    soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
   if (!request.body.empty()) {
     GBytes* bytes = g_bytes_new(request.body.data(), request.body.size());
     soup_message_set_request_body_from_bytes(
--- a/source/frontends/soup_call.h
+++ b/source/frontends/soup_call.h
@@ -10,6 +10,10 @@
 
 namespace boragepick {
 
+// A session that connects directly, whatever proxy the environment names, and
+// keeps at most `connections` open; idle ones are closed after `idle_seconds`.
+SoupSession* NewDirectSession(int connections, unsigned idle_seconds);
+
 struct HttpReply {
   // Whether a whole answer came.
   bool answered = false;
@@ -27,6 +31,8 @@
   std::string content_type = "application/json";
   std::string body;
   unsigned timeout_ms = 1000;
+  // A read: it may use a kept connection, on which it might be sent again.
+  bool repeatable = false;
 };
 
 using HttpReplyHandler = std::function<void(HttpReply)>;
--- a/source/frontends/upstream_client.cc
+++ b/source/frontends/upstream_client.cc
@@ -45,14 +45,9 @@
                                UpstreamOutlet outlet)
     : m_options(std::move(options)),
       m_outlet(std::move(outlet)),
-      m_session(soup_session_new_with_options(
-          "max-conns",
+      m_session(NewDirectSession(
           static_cast<int>(m_options.slots + kSpareConnections),
-          "max-conns-per-host",
-          static_cast<int>(m_options.slots + kSpareConnections),
-          "idle-timeout",
-          kIdleSeconds,
-          nullptr)) {}
+          kIdleSeconds)) {}
 
 UpstreamClient::~UpstreamClient() {
   for (auto& [number, run] : m_runs) {
--- a/source/tools/cli/client.cc
+++ b/source/tools/cli/client.cc
@@ -8,8 +8,11 @@
 namespace boragepick {
 
 Client::Client(unsigned timeout_seconds)
-    : m_session(
-          soup_session_new_with_options("timeout", timeout_seconds, nullptr)) {}
+    : m_session(soup_session_new_with_options("proxy-resolver",
+                                              nullptr,
+                                              "timeout",
+                                              timeout_seconds,
+                                              nullptr)) {}
 
 Client::~Client() {
   g_object_unref(m_session);
--- a/source/tools/standin/engine_standin.cc
+++ b/source/tools/standin/engine_standin.cc
@@ -43,7 +43,7 @@
   Engine(GlibLoop& loop, StandinOptions options)
       : m_loop(loop),
         m_options(std::move(options)),
-        m_session(soup_session_new()),
+        m_session(NewDirectSession(64, 5)),
         m_server(loop, m_options.endpoint, [this](const Request& r) {
           On(r);
         }) {}
