Test the daemons with encrypted peers

Cause: CURVE between processes was written and documented, but never run. Change: a deployment with a fresh pair of keys, skipped where the build of libzmq has no CURVE. A side without the keys has not been tried.

--- a/source/unit_tests/end_to_end/deployment.cc
+++ b/source/unit_tests/end_to_end/deployment.cc
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <zmq.h>
 
 #include <algorithm>
 #include <chrono>
@@ -49,6 +50,13 @@
 Deployment::Deployment(const Shape& shape) : m_routers(shape.routers) {
   char pattern[] = "/tmp/boragepick-test-XXXXXX";
   m_folder = mkdtemp(pattern);
+  if (shape.curve) {
+    char public_key[41];
+    char secret_key[41];
+    zmq_curve_keypair(public_key, secret_key);
+    m_curve = std::string("curve_public_key = ") + public_key +
+              "\ncurve_secret_key = " + secret_key + "\n";
+  }
   AddStandin("kv", "kv", {});
   AddStandin("vms", "vms", {});
   std::vector<std::string> router_peers;
@@ -80,22 +88,23 @@
     AddDaemon(
         name, "router",
         "[peers]\nendpoint = " + router_peers[static_cast<std::size_t>(i)] +
-            "\nseeds = " + m_seeds +
+            "\nseeds = " + m_seeds + "\n" + m_curve +
             "\n[platform]\nkey_value_url = " + m_programs["kv"].http +
             "\nvm_list_url = " + m_programs["vms"].http + "/vms\n");
   }
-  const auto add_agent =
-      [&](const std::string& name, const std::string& upstream,
-          const std::string& pool, const std::string& memory) {
-        const std::string peer = FreeEndpoint();
-        entry(name, "agent", peer, pool);
-        AddDaemon(name, "agent",
-                  "[peers]\nendpoint = " + peer + "\nseeds = " + m_seeds +
-                      "\n[upstream]\nurl = " + m_programs[upstream].http +
-                      "\npool = " + pool + "\nmemory_mb = " + memory +
-                      "\nslots = " + std::to_string(shape.engine_slots) +
-                      "\nprogress_timeout_ms = 2000\n");
-      };
+  const auto add_agent = [&](const std::string& name,
+                             const std::string& upstream,
+                             const std::string& pool,
+                             const std::string& memory) {
+    const std::string peer = FreeEndpoint();
+    entry(name, "agent", peer, pool);
+    AddDaemon(name, "agent",
+              "[peers]\nendpoint = " + peer + "\nseeds = " + m_seeds + "\n" +
+                  m_curve + "\n[upstream]\nurl = " + m_programs[upstream].http +
+                  "\npool = " + pool + "\nmemory_mb = " + memory +
+                  "\nslots = " + std::to_string(shape.engine_slots) +
+                  "\nprogress_timeout_ms = 2000\n");
+  };
   for (int i = 0; i < shape.engines; ++i)
     add_agent("w" + std::to_string(i), "e" + std::to_string(i), "models",
               "1000");
--- a/source/unit_tests/end_to_end/deployment.h
+++ b/source/unit_tests/end_to_end/deployment.h
@@ -30,6 +30,8 @@
     unsigned load_ms = 200;
     unsigned token_ms = 10;
     unsigned engine_slots = 16;
+    // Messages between processes are encrypted.
+    bool curve = false;
   };
 
   explicit Deployment(const Shape& shape);
@@ -110,6 +112,7 @@
   std::map<std::string, std::string> m_peers;
   std::vector<std::string> m_start_order;
   std::string m_seeds;
+  std::string m_curve;
   int m_routers = 0;
 };
 
--- a/source/unit_tests/end_to_end/end_to_end_test.cc
+++ b/source/unit_tests/end_to_end/end_to_end_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <zmq.h>
 
 #include <atomic>
 #include <mutex>
@@ -358,6 +359,14 @@
   }));
 }
 
+TEST(EndToEnd, EncryptedPeersServeRequests) {
+  if (zmq_has("curve") == 0)
+    GTEST_SKIP() << "this build of libzmq has no CURVE";
+  Deployment deployment({.engines = 1, .services = 1, .curve = true});
+  Warm(deployment, "r0");
+  Warm(deployment, "r1");
+}
+
 TEST(EndToEnd, ForeignBytesOnThePeerPortHarmNothing) {
   Deployment deployment({.engines = 1, .services = 0});
   Warm(deployment, "r0");
