--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -67,13 +67,9 @@
        "This router changed its standing share of a quota page."},
       {LogEvent::kShareConflict, kInfo, kQuota, "share_conflict",
        "Another router changed the quota page first; this one plans again."},
-      {LogEvent::kOncePageTaken, kInfo, kOnce, "once_page_taken",
-       "This router became the owner of a page of once-claims."},
       {LogEvent::kOnceConflict, kWarning, kOnce, "once_conflict",
        "A page of once-claims had been changed by another writer; it is read "
        "again."},
-      {LogEvent::kOnceRefused, kInfo, kOnce, "once_refused",
-       "A request that may not be repeated was refused."},
       {LogEvent::kConfigApplied, kInfo, kFeed, "config_applied",
        "A new configuration revision is in force on this node."},
       {LogEvent::kConfigRejected, kWarning, kFeed, "config_rejected",
