--- a/source/core/router/flight_desk.h
+++ b/source/core/router/flight_desk.h
@@ -31,9 +31,6 @@
   std::uint64_t tokens = 0;
   std::map<std::string, std::uint64_t> admitted_tokens_by_team;
   std::map<std::string, std::uint64_t> refused_by_team;
-  // Refused for rate although the team's whole rate would have allowed it by
-  // its deadline.
-  std::uint64_t refused_within_rate = 0;
   Summary first_token_warm;
   Summary first_token_cold;
   Summary token_wait;
