Load models where copies are at hand, and hear the controllers

Cause: held requests waited until they were refused. An entry's "sequence" counts heartbeats, not orders: comparing it with a report's made routers ignore every word of the controllers, so asks hopped from worker to worker; loads from the weight store shared it among too many and blocked workers for 20 s. Ruled out: lost peer messages (controllers carried the asks out). Change: news and list are joined by time, not by that count; each model has workers that all routers ask first; a copy at hand goes before the store; models at hand nowhere are loaded before traffic; what is waited for most goes first and only what is asked for less gives way; the list's watch pauses after changes.

--- a/source/core/engine/engine_controller.cc
+++ b/source/core/engine/engine_controller.cc
@@ -1,6 +1,7 @@
 #include "core/engine/engine_controller.h"
 
 #include <algorithm>
+#include <bit>
 
 #include "core/serving/load_planner.h"
 
@@ -11,7 +12,7 @@
 // The engine's account is read so often while something is to be done, and
 // while nothing is.
 constexpr Duration kReadWhileBusy = std::chrono::milliseconds(40);
-constexpr Duration kReadWhileIdle = std::chrono::milliseconds(1'000);
+constexpr Duration kReadWhileIdle = std::chrono::milliseconds(200);
 // A need that nobody repeats is over; routers repeat theirs every 600 ms.
 constexpr Duration kNeedLife = std::chrono::milliseconds(2'000);
 // Routers that have not asked for so long are told nothing more.
@@ -20,16 +21,37 @@
 // A model that has just come is kept for so long, so that two that don't fit
 // together take turns.
 constexpr Duration kLeastResidency = std::chrono::milliseconds(1'200);
-// A model asked for more often than this, per thousand seconds, is not given up
-// for another.
-constexpr std::uint64_t kTooValuable = 1'500;
+// A loaded model gives way to one that waits only if it is asked for less
+// often: a waiting request counts as so many thousandths of one a second.
+constexpr std::uint64_t kValueOfWaiting = 300;
+// Values closer than this count as alike.
+constexpr std::uint64_t kValueStep = 200;
 // An order without an answer is decided by the engine's account after so long.
 constexpr Duration kOrderPatience = std::chrono::milliseconds(700);
 constexpr Duration kFenceAskPause = std::chrono::milliseconds(300);
 constexpr std::size_t kMaxAdaptersComing = 4;
 
+// Routers are told of the queue when it crosses a power of two.
+int LoadStep(std::uint32_t waiting) {
+  return std::bit_width(waiting);
+}
+
 }  // namespace
 
+std::uint64_t EngineController::Need::Waiting() const {
+  std::uint64_t sum = 0;
+  for (const auto& [router, asker] : askers)
+    sum += asker.waiting;
+  return sum;
+}
+
+std::uint64_t EngineController::Need::MilliRequests() const {
+  std::uint64_t sum = 0;
+  for (const auto& [router, asker] : askers)
+    sum += asker.milli_requests;
+  return sum;
+}
+
 std::vector<ControllerEffect> EngineController::Handle(TimePoint now,
                                                        ControllerEvent event) {
   std::visit([this, now](auto& held) { On(now, held); }, event);
@@ -98,16 +120,17 @@
   const auto same = [&ask](const Need& need) {
     return need.model == ask.model && need.adapter == ask.adapter;
   };
-  const auto found = std::ranges::find_if(m_needs, same);
+  auto found = std::ranges::find_if(m_needs, same);
   if (found == m_needs.end()) {
-    m_needs.push_back({.model = ask.model,
-                       .adapter = ask.adapter,
-                       .first_asked = now,
-                       .last_asked = now});
+    m_needs.push_back(
+        {.model = ask.model, .adapter = ask.adapter, .first_asked = now});
+    found = std::prev(m_needs.end());
     m_next_read = std::min(m_next_read, now + kReadWhileBusy);
-  } else {
-    found->last_asked = now;
   }
+  found->last_asked = now;
+  found->askers[from] = {.waiting = ask.waiting,
+                         .milli_requests = ask.milli_requests,
+                         .at = now};
   TellOne(from);
   Proceed(now);
 }
@@ -135,12 +158,16 @@
   }
   const bool changed =
       !m_report || restarted ||
-      m_report->contents.sequence != report.contents.sequence ||
+      m_report->orders != report.orders ||
       m_report->contents.models != report.contents.models ||
-      m_report->busy != report.busy;
+      m_report->busy != report.busy ||
+      LoadStep(m_report->waiting) != LoadStep(report.waiting);
   m_report = report;
-  for (const LoadedModel& model : report.contents.models)
-    m_loaded_at.try_emplace(model.name, now);
+  for (const LoadedModel& model : report.contents.models) {
+    // why: what was there at the start may go at once
+    m_loaded_at.try_emplace(
+        model.name, m_orders_sent == 0 ? now - kLeastResidency : now);
+  }
   std::erase_if(m_loaded_at, [&report](const auto& entry) {
     return report.contents.Find(entry.first) == nullptr;
   });
@@ -149,6 +176,11 @@
 }
 
 void EngineController::DropSettledNeeds(TimePoint now) {
+  for (Need& need : m_needs) {
+    std::erase_if(need.askers, [now](const auto& asker) {
+      return now - asker.second.at > kNeedLife;
+    });
+  }
   std::erase_if(m_needs, [this, now](const Need& need) {
     return now - need.last_asked > kNeedLife ||
            (m_report && m_report->contents.Holds(need.model, need.adapter));
@@ -177,7 +209,7 @@
   if (!m_order)
     return;
   const bool accepted =
-      m_report->contents.sequence > m_order->order.precondition;
+      m_report->orders > m_order->order.precondition;
   const bool adapter_coming =
       std::ranges::find(m_report->coming,
                         WeightsName(m_order->order.model,
@@ -205,13 +237,15 @@
     // why: an adapter takes a hundredth of the time of a model
     if (left.adapter.empty() != right.adapter.empty())
       return right.adapter.empty();
+    if (left.Waiting() != right.Waiting())
+      return left.Waiting() > right.Waiting();
     return left.first_asked < right.first_asked;
   });
   for (const Need& need : m_needs) {
     std::optional<EngineOrder> order = OrderFor(now, need);
     if (!order)
       continue;
-    order->precondition = m_report->contents.sequence;
+    order->precondition = m_report->orders;
     order->fence = *m_fence;
     ++m_orders_sent;
     Log(LogEvent::kOrderSent,
@@ -220,7 +254,7 @@
          {"for", WeightsName(need.model, need.adapter)},
          {"waited_ms",
           std::to_string((now - need.first_asked).count() / 1'000)},
-         {"sequence", std::to_string(order->precondition)},
+         {"orders", std::to_string(order->precondition)},
          {"used_mb", std::to_string(static_cast<std::int64_t>(UsedMb()))}});
     m_order = OpenOrder{.order = *order, .sent = now};
     m_next_read = now + kReadWhileBusy;
@@ -242,7 +276,7 @@
     const Need& need) const {
   const double needed_mb = m_spec->models.at(need.model).memory_mb;
   if (UsedMb() + needed_mb > m_spec->memory_mb)
-    return EvictModel(now, need.model);
+    return EvictModel(now, need);
   return EngineOrder{.kind = OrderKind::kLoad, .model = need.model};
 }
 
@@ -266,19 +300,32 @@
 
 std::optional<EngineOrder> EngineController::EvictModel(
     TimePoint now,
-    const std::string& /*wanted*/) const {
+    const Need& need) const {
+  const double missing_mb =
+      UsedMb() + m_spec->models.at(need.model).memory_mb - m_spec->memory_mb;
+  const std::uint64_t limit =
+      need.MilliRequests() +
+      kValueOfWaiting * std::max<std::uint64_t>(1, need.Waiting());
   const LoadedModel* victim = nullptr;
-  std::uint64_t least = kTooValuable;
+  std::pair<std::uint64_t, double> least;
   for (const LoadedModel& model : m_report->contents.models) {
     const auto loaded = m_loaded_at.find(model.name);
-    const bool fresh =
-        loaded != m_loaded_at.end() && loaded->second > TimePoint{} &&
-        now - loaded->second < kLeastResidency && m_orders_sent > 0;
+    const bool fresh = loaded != m_loaded_at.end() &&
+                       now - loaded->second < kLeastResidency;
     const std::uint64_t value = ValueOf(now, model.name);
-    if (fresh || value >= least)
+    if (fresh || value >= limit)
+      continue;
+    // why: of models alike in value, one that makes room alone goes first
+    const auto spec = m_spec->models.find(model.name);
+    const double memory_mb =
+        spec == m_spec->models.end() ? 0 : spec->second.memory_mb;
+    const std::pair<std::uint64_t, double> rank{
+        value / kValueStep,
+        memory_mb >= missing_mb ? memory_mb : m_spec->memory_mb - memory_mb};
+    if (victim != nullptr && rank >= least)
       continue;
     victim = &model;
-    least = value;
+    least = rank;
   }
   if (victim == nullptr)
     return std::nullopt;
@@ -339,7 +386,9 @@
 }
 
 EngineNews EngineController::News() const {
-  EngineNews news{.contents = m_report->contents, .busy = m_report->busy};
+  EngineNews news{.contents = m_report->contents,
+                  .busy = m_report->busy,
+                  .waiting = m_report->waiting};
   for (const Need& need : m_needs)
     news.queued.push_back(WeightsName(need.model, need.adapter));
   return news;
--- a/source/core/engine/engine_controller.h
+++ b/source/core/engine/engine_controller.h
@@ -53,6 +53,8 @@
 // The engine's account of itself.
 struct EngineReport {
   EngineContents contents;
+  // Orders accepted since its start.
+  std::uint64_t orders = 0;
   // An order is being carried out.
   bool busy = false;
   std::uint32_t running = 0;
@@ -125,6 +127,16 @@
     std::string adapter;
     TimePoint first_asked;
     TimePoint last_asked;
+    // What each router that asks has waiting, and its demand.
+    struct Asker {
+      std::uint32_t waiting = 0;
+      std::uint32_t milli_requests = 0;
+      TimePoint at;
+    };
+    std::map<std::string, Asker> askers;
+
+    std::uint64_t Waiting() const;
+    std::uint64_t MilliRequests() const;
   };
   struct OpenOrder {
     EngineOrder order;
@@ -155,8 +167,7 @@
   std::optional<EngineOrder> OrderForModel(TimePoint now,
                                            const Need& need) const;
   std::optional<EngineOrder> OrderForAdapter(const Need& need) const;
-  std::optional<EngineOrder> EvictModel(TimePoint now,
-                                        const std::string& wanted) const;
+  std::optional<EngineOrder> EvictModel(TimePoint now, const Need& need) const;
   std::optional<EngineOrder> EvictAdapter(const Need& need) const;
   double UsedMb() const;
   std::uint64_t ValueOf(TimePoint now, const std::string& model) const;
--- a/source/core/engine/engine_messages.h
+++ b/source/core/engine/engine_messages.h
@@ -26,17 +26,22 @@
   std::string adapter;
   // Requests that wait for it.
   std::uint32_t waiting = 0;
+  // Requests a second for the model at the asker, in thousandths.
+  std::uint32_t milli_requests = 0;
   // What the asker makes of the models that are loaded there.
   std::vector<ModelValue> values;
 };
 
 // Controller to the routers that asked it lately, whenever something changes.
 struct EngineNews {
+  // Without the copies on disk and in memory, which the list of workers tells.
   EngineContents contents;
   // Asks that wait or are being carried out, the next one first.
   std::vector<std::string> queued;
   // The engine is carrying out an order.
   bool busy = false;
+  // Requests that wait in the engine.
+  std::uint32_t waiting = 0;
 };
 
 }  // namespace boragepick
--- a/source/core/serving/load_planner.cc
+++ b/source/core/serving/load_planner.cc
@@ -26,14 +26,29 @@
 // second and loaded nowhere else.
 constexpr Duration kCostOfUnload = std::chrono::milliseconds(100);
 constexpr Duration kCostOfLostDemand = std::chrono::milliseconds(2'500);
-// Spreads equal choices over the workers, equally at all routers.
-constexpr Duration kTieBreak = std::chrono::milliseconds(150);
+// Spreads the models over the workers, alike at all routers: each model has
+// workers that are asked first.
+constexpr Duration kSpread = std::chrono::milliseconds(1'500);
+constexpr Duration kAdapterSpread = std::chrono::milliseconds(150);
+// A wish that nobody repeats is over.
+constexpr Duration kWishLife = std::chrono::milliseconds(2'500);
+// A worker that took too long with a wish is asked again only for want of
+// others.
+constexpr Duration kCostOfLateness = std::chrono::seconds(3);
+// A load from the weight store holds its worker up for seconds, and shares the
+// store with all others: a copy at hand is worth a long queue.
+constexpr int kStoreAversion = 4;
 constexpr Duration kAdapterLoad = std::chrono::milliseconds(20);
 
 bool Contains(const std::vector<std::string>& names, const std::string& name) {
   return std::ranges::find(names, name) != names.end();
 }
 
+std::uint32_t Thousandths(double value) {
+  constexpr double kThousandths = 1'000;
+  return static_cast<std::uint32_t>(value * kThousandths);
+}
+
 std::size_t HoldersOf(std::span<Worker* const> workers,
                       const std::string& model) {
   return static_cast<std::size_t>(
@@ -55,12 +70,19 @@
   return used;
 }
 
+bool IsAtHand(const EngineContents& contents, const std::string& model) {
+  return contents.Find(model) != nullptr ||
+         Contains(contents.in_memory, model) ||
+         Contains(contents.on_disk, model);
+}
+
+// A load's time, weighed for the choice of a worker.
 Duration LoadTime(const EngineModel& model, const EngineContents& contents) {
   if (Contains(contents.in_memory, model.name))
     return model.load_from_memory;
   if (Contains(contents.on_disk, model.name))
     return model.load_from_disk;
-  return model.load_from_store;
+  return model.load_from_store * kStoreAversion;
 }
 
 }  // namespace
@@ -151,53 +173,70 @@
       StableHash(WeightsName(need.model, need.adapter),
                  StableHash(worker.entry.id)) %
       1'000;
-  return cost + kTieBreak * static_cast<int>(spread) / 1'000;
+  return cost + (for_adapter ? kAdapterSpread : kSpread) *
+                    static_cast<int>(spread) / 1'000;
 }
 
 std::vector<ModelValue> LoadPlanner::ValuesOf(
     TimePoint now,
     std::span<Worker* const> workers,
     const Worker& worker) const {
-  constexpr double kThousandths = 1'000;
   std::vector<ModelValue> values;
   for (const LoadedModel& loaded : worker.contents.models) {
     const auto holders = static_cast<double>(
         std::max<std::size_t>(1, HoldersOf(workers, loaded.name)));
     const double value = Demand(now, loaded.name) / holders / holders;
     values.push_back(
-        {.model = loaded.name,
-         .milli_requests = static_cast<std::uint32_t>(value * kThousandths)});
+        {.model = loaded.name, .milli_requests = Thousandths(value)});
   }
   return values;
 }
 
+void LoadPlanner::ForgetOldWishes(TimePoint now) {
+  if (now < m_next_forget)
+    return;
+  m_next_forget = now + kAskAgain;
+  std::erase_if(m_wishes, [now](const auto& wish) {
+    return now - wish.second.asked > kWishLife;
+  });
+}
+
+bool LoadPlanner::StaysWith(TimePoint now,
+                            std::span<Worker* const> workers,
+                            Wish& wish) {
+  const auto at = std::ranges::find(
+      workers, wish.worker,
+      [](const Worker* worker) { return worker->entry.id; });
+  if (at == workers.end())
+    return false;
+  const Duration waited = now - wish.first_asked;
+  const bool silent =
+      (*at)->news_at < wish.first_asked && waited > kControllerPatience;
+  if (silent) {
+    m_silent[wish.worker] = now + kSilentFor;
+    return false;
+  }
+  if (waited <= wish.expected * kLoadPatience)
+    return true;
+  wish.late_worker = wish.worker;
+  return false;
+}
+
 std::optional<PlannedLoad> LoadPlanner::Plan(TimePoint now,
                                              const EngineSpec& engine,
                                              std::span<Worker* const> workers,
                                              const WeightsNeed& need) {
   if (!engine.models.contains(need.model))
     return std::nullopt;
+  ForgetOldWishes(now);
   const std::string name = WeightsName(need.model, need.adapter);
   const auto wish = m_wishes.find(name);
-  std::string keep;
-  if (wish != m_wishes.end()) {
-    const Wish& open = wish->second;
-    if (now - open.asked < kAskAgain)
-      return std::nullopt;
-    const auto at =
-        std::ranges::find(workers, open.worker, [](const Worker* worker) {
-          return worker->entry.id;
-        });
-    const bool silent = at == workers.end() ||
-                        ((*at)->news_at < open.first_asked &&
-                         now - open.first_asked > kControllerPatience);
-    const bool overdue =
-        now - open.first_asked > open.expected * kLoadPatience;
-    if (silent || overdue)
-      m_silent[open.worker] = now + kSilentFor;
-    else
-      keep = open.worker;
-  }
+  const bool open = wish != m_wishes.end();
+  if (open && now - wish->second.asked < kAskAgain)
+    return std::nullopt;
+  const bool stays = open && StaysWith(now, workers, wish->second);
+  const std::string keep = stays ? wish->second.worker : "";
+  const std::string late = open ? wish->second.late_worker : "";
   Worker* best = nullptr;
   Duration best_cost = Duration::max() / 4;
   for (Worker* worker : workers) {
@@ -211,9 +250,11 @@
              : worker->contents.Find(need.model) != nullptr);
     if (!possible)
       continue;
-    const Duration cost = worker->entry.id == keep
-                              ? Duration::zero()
-                              : Cost(now, engine, workers, *worker, need);
+    Duration cost = worker->entry.id == keep
+                        ? Duration::zero()
+                        : Cost(now, engine, workers, *worker, need);
+    if (worker->entry.id == late)
+      cost += kCostOfLateness;
     if (cost < best_cost) {
       best = worker;
       best_cost = cost;
@@ -228,16 +269,33 @@
   m_wishes[name] = {.worker = best->entry.id,
                     .asked = now,
                     .first_asked = first_asked,
-                    .expected = expected};
+                    .expected = expected,
+                    .late_worker = late};
   return PlannedLoad{.worker = best->entry.id,
                      .address = best->entry.address,
                      .ask = {.model = need.model,
                              .adapter = need.adapter,
                              .waiting = need.waiting,
+                             .milli_requests = Thousandths(
+                                 Demand(now, need.model)),
                              .values = ValuesOf(now, workers, *best)},
                      .expected = expected};
 }
 
+std::vector<std::string> LoadPlanner::NowhereAtHand(
+    const EngineSpec& engine,
+    std::span<Worker* const> workers) {
+  std::vector<std::string> missing;
+  for (const auto& [name, model] : engine.models) {
+    const bool found = std::ranges::any_of(workers, [&](const Worker* worker) {
+      return IsAtHand(worker->contents, name);
+    });
+    if (!found)
+      missing.push_back(name);
+  }
+  return missing;
+}
+
 void LoadPlanner::Settle(const std::string& model, const std::string& adapter) {
   m_wishes.erase(WeightsName(model, adapter));
 }
--- a/source/core/serving/load_planner.h
+++ b/source/core/serving/load_planner.h
@@ -47,6 +47,12 @@
                                   std::span<Worker* const> workers,
                                   const WeightsNeed& need);
 
+  // Models of which no worker has a copy: their first request would wait for
+  // the weight store.
+  static std::vector<std::string> NowhereAtHand(
+      const EngineSpec& engine,
+      std::span<Worker* const> workers);
+
   // The weights have come, or nobody waits for them any more.
   void Settle(const std::string& model, const std::string& adapter);
 
@@ -59,6 +65,8 @@
     TimePoint asked;
     TimePoint first_asked;
     Duration expected = Duration::zero();
+    // A worker that took too long with it.
+    std::string late_worker;
   };
   struct Seen {
     double count = 0;
@@ -79,12 +87,18 @@
                                    std::span<Worker* const> workers,
                                    const Worker& worker) const;
   std::size_t WishesAt(const std::string& worker) const;
+  void ForgetOldWishes(TimePoint now);
+  // Whether the open wish should stay with its worker.
+  bool StaysWith(TimePoint now,
+                 std::span<Worker* const> workers,
+                 Wish& wish);
 
   std::map<std::string, Wish> m_wishes;
   std::unordered_map<std::string, Seen> m_seen;
   // Workers whose controller did not answer, and until when they are passed
   // over.
   std::unordered_map<std::string, TimePoint> m_silent;
+  TimePoint m_next_forget = TimePoint{};
 };
 
 // "model" or "model/adapter".
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Loads from the weight store that routers have going before anybody asks: as
+// many as the store bears at full speed.
+constexpr std::size_t kPreparedAtOnce = 4;
 // Sendings of one request, rejected ones included.
 constexpr std::uint32_t kMaxSends = 5;
 // A held request looks again for a worker after so long at the latest.
@@ -59,11 +62,7 @@
     return Refuse(now, exchange, ServingRefusal::kKeysStale);
   const ServingService* service =
       m_state.config->FindService(exchange.service);
-  std::vector<Worker*> workers;
-  for (Worker* worker : m_state.workers.OfService(exchange.service)) {
-    if (worker->Usable(now))
-      workers.push_back(worker);
-  }
+  std::vector<Worker*> workers = UsableWorkers(now, exchange.service);
   if (service == nullptr || workers.empty())
     return Hold(now, exchange, "no_worker");
   if (service->engine && !exchange.weights.empty())
@@ -106,7 +105,7 @@
 }
 
 void RequestTable::AskForWeights(TimePoint now,
-                                 Exchange& exchange,
+                                 const Exchange& exchange,
                                  const EngineSpec& engine,
                                  const std::vector<Worker*>& workers) {
   const ServingRequest& request = *exchange.request;
@@ -114,18 +113,27 @@
       std::ranges::any_of(workers, [&request](const Worker* worker) {
         return worker->contents.Find(request.model) != nullptr;
       });
-  const auto planned = m_loads.Plan(
-      now, engine, workers,
-      {.model = request.model,
-       .adapter = model_loaded ? request.adapter : std::string(),
-       .waiting = 1});
+  AskLoad(now, engine, workers,
+          {.model = request.model,
+           .adapter = model_loaded ? request.adapter : std::string(),
+           .waiting = WaitingFor(exchange.weights)},
+          request.trace_id);
+}
+
+void RequestTable::AskLoad(TimePoint now,
+                           const EngineSpec& engine,
+                           const std::vector<Worker*>& workers,
+                           const WeightsNeed& need,
+                           const std::string& reason) {
+  const auto planned = m_loads.Plan(now, engine, workers, need);
   if (!planned)
     return;
   m_state.Log(LogEvent::kLoadAsked,
-              {{"request", request.trace_id},
+              {{"request", reason},
                {"weights",
                 WeightsName(planned->ask.model, planned->ask.adapter)},
                {"worker", planned->worker},
+               {"waiting", std::to_string(need.waiting)},
                {"expected_ms", Milliseconds(planned->expected)}});
   m_state.Emit(SendToEndpoint{
       .endpoint = IpOf(planned->address) + ":" +
@@ -133,6 +141,44 @@
       .message = planned->ask});
 }
 
+void RequestTable::PrepareModels(TimePoint now) {
+  if (!m_state.config)
+    return;
+  for (const auto& [name, service] : m_state.config->config().services) {
+    if (!service.engine)
+      continue;
+    const std::vector<Worker*> workers = UsableWorkers(now, name);
+    std::vector<std::string> missing = LoadPlanner::NowhereAtHand(
+        *service.engine, std::span<Worker* const>(workers));
+    if (missing.size() > kPreparedAtOnce)
+      missing.resize(kPreparedAtOnce);
+    for (const std::string& model : missing)
+      AskLoad(now, *service.engine, workers, {.model = model}, "preparation");
+  }
+}
+
+std::vector<Worker*> RequestTable::UsableWorkers(TimePoint now,
+                                                 const std::string& service) {
+  std::vector<Worker*> workers = m_state.workers.OfService(service);
+  std::erase_if(workers, [now](const Worker* worker) {
+    return !worker->Usable(now);
+  });
+  return workers;
+}
+
+std::uint32_t RequestTable::WaitingFor(const std::string& weights) const {
+  const auto found = m_waiting.find(weights);
+  return found == m_waiting.end() ? 1 : found->second;
+}
+
+void RequestTable::Unhold(const Exchange& exchange) {
+  if (m_held.erase(exchange.request->id) == 0)
+    return;
+  const auto waiting = m_waiting.find(exchange.weights);
+  if (--waiting->second == 0)
+    m_waiting.erase(waiting);
+}
+
 void RequestTable::Hold(TimePoint now,
                         Exchange& exchange,
                         const std::string& why) {
@@ -148,7 +194,8 @@
                  {"runs", std::to_string(exchange.runs)}});
   }
   exchange.stage = ExchangeStage::kHeld;
-  m_held.insert(exchange.request->id);
+  if (m_held.insert(exchange.request->id).second)
+    ++m_waiting[exchange.weights];
   const TimePoint limit = exchange.arrived + HoldLimit(exchange);
   if (now >= limit) {
     if (exchange.committed)
@@ -183,7 +230,7 @@
   worker.prompts.Remember(exchange.weights, request.prompt);
   ++exchange.sends;
   exchange.stage = ExchangeStage::kRunning;
-  m_held.erase(request.id);
+  Unhold(exchange);
   m_attempts.emplace(attempt.number, request.id);
   m_state.Log(
       LogEvent::kRequestRouted,
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -245,7 +245,7 @@
 void RequestTable::Forget(Exchange& exchange) {
   const RequestId id = exchange.request->id;
   CloseAttempt(exchange);
-  m_held.erase(id);
+  Unhold(exchange);
   m_checks.erase({exchange.next_check, id});
   m_exchanges.erase(id);
 }
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -50,6 +50,10 @@
   // The worker has left: nothing new goes there, what runs there goes on.
   void Tick(TimePoint now);
 
+  // Has models that are at hand nowhere loaded before they are asked for, a few
+  // at a time.
+  void PrepareModels(TimePoint now);
+
   TimePoint NextCheck() const;
   std::size_t open() const { return m_exchanges.size(); }
   std::size_t held() const { return m_held.size(); }
@@ -68,9 +72,17 @@
                         const EngineSpec& engine,
                         std::vector<Worker*> workers);
   void AskForWeights(TimePoint now,
-                     Exchange& exchange,
+                     const Exchange& exchange,
                      const EngineSpec& engine,
                      const std::vector<Worker*>& workers);
+  void AskLoad(TimePoint now,
+               const EngineSpec& engine,
+               const std::vector<Worker*>& workers,
+               const WeightsNeed& need,
+               const std::string& reason);
+  std::vector<Worker*> UsableWorkers(TimePoint now, const std::string& service);
+  std::uint32_t WaitingFor(const std::string& weights) const;
+  void Unhold(const Exchange& exchange);
   void Hold(TimePoint now, Exchange& exchange, const std::string& why);
   void Send(TimePoint now, Exchange& exchange, const WorkerChoice& choice);
   void CloseAttempt(Exchange& exchange);
@@ -111,6 +123,8 @@
   std::unordered_map<AttemptNumber, RequestId> m_attempts;
   // In order of arrival.
   std::set<RequestId> m_held;
+  // Held requests by their weights.
+  std::map<std::string, std::uint32_t> m_waiting;
   std::set<std::pair<TimePoint, RequestId>> m_checks;
   AttemptNumber m_last_attempt = 0;
 };
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -8,6 +8,7 @@
 
 // Entries that lapsed during an outage are back this long after it.
 constexpr Duration kReturnTime = std::chrono::milliseconds(2'300);
+constexpr Duration kPreparationPeriod = std::chrono::milliseconds(500);
 // The age of the keys' proof is looked at so often.
 constexpr Duration kKeyCheck = std::chrono::milliseconds(250);
 
@@ -78,7 +79,7 @@
                                                event.entry.contents.born;
   const bool was_ready =
       before != nullptr && before->entry.state == WorkerState::kReady;
-  if (!m_state.workers.List(event.entry))
+  if (!m_state.workers.List(now, event.entry))
     return;
   if (is_new) {
     m_state.Log(LogEvent::kWorkerListed,
@@ -156,6 +157,10 @@
 void ServingRouter::On(TimePoint now, const ServingTicked& /*event*/) {
   CheckDoubtful(now);
   m_requests.Tick(now);
+  if (now < m_next_preparation)
+    return;
+  m_next_preparation = now + kPreparationPeriod;
+  m_requests.PrepareModels(now);
 }
 
 void ServingRouter::CheckKeys(TimePoint now) {
--- a/source/core/serving/serving_router.h
+++ b/source/core/serving/serving_router.h
@@ -65,6 +65,7 @@
   bool m_draining = false;
   bool m_drained = false;
   TimePoint m_drain_started = kNever;
+  TimePoint m_next_preparation = TimePoint{};
   bool m_list_lost = false;
   // Until then, after an outage, workers that are missing may come back.
   TimePoint m_return_until = TimePoint{};
--- a/source/core/serving/worker_choice.cc
+++ b/source/core/serving/worker_choice.cc
@@ -11,6 +11,8 @@
 constexpr double kTokensReadPerMs = 19;
 // What each running request adds to the first token of the next one.
 constexpr Duration kCostOfRunning = std::chrono::microseconds(1'500);
+// A request that waits in the engine has its prompt to be read first.
+constexpr Duration kCostOfWaiting = std::chrono::milliseconds(25);
 // A plain service's worker runs few at once, so each counts for more.
 constexpr Duration kCostOfPlainRunning = std::chrono::milliseconds(10);
 // Another data centre costs a round trip, and bytes between them are dear.
@@ -39,6 +41,7 @@
     cost += ReadingTime(worker.unread_tokens + std::max<std::int64_t>(
                                                    0, prompt - known));
     cost += kCostOfRunning * worker.running;
+    cost += kCostOfWaiting * worker.engine_waiting;
   }
   cost = std::chrono::duration_cast<Duration>(
       cost * std::clamp(worker.slowness, 0.5, 20.0));
--- a/source/core/serving/worker_entry.h
+++ b/source/core/serving/worker_entry.h
@@ -26,12 +26,10 @@
   bool operator==(const LoadedModel&) const = default;
 };
 
-// What an engine holds, as of `sequence` orders after the start `born`.
+// What an engine holds.
 struct EngineContents {
   // Unix milliseconds of the worker's start: tells its incarnations apart.
   std::int64_t born = 0;
-  // Orders accepted since.
-  std::uint64_t sequence = 0;
   std::vector<LoadedModel> models;
   // Weights of which a copy is in the machine's memory, or on its disk.
   std::vector<std::string> in_memory;
--- a/source/core/serving/worker_table.cc
+++ b/source/core/serving/worker_table.cc
@@ -25,10 +25,16 @@
   return key ^ (key >> 32);
 }
 
-// Whether `left` describes a later state of an engine than `right`.
-bool IsNewer(const EngineContents& left, const EngineContents& right) {
-  return left.born != right.born ? left.born > right.born
-                                 : left.sequence > right.sequence;
+// An entry of the list may be as old as this when it comes: until then what the
+// controller said goes before it.
+constexpr Duration kListLag = std::chrono::milliseconds(2'500);
+
+// Adapters come and go without a new entry; the controller tells of them.
+void KeepKnownAdapters(const EngineContents& known, EngineContents& listed) {
+  for (LoadedModel& model : listed.models) {
+    if (const LoadedModel* before = known.Find(model.name))
+      model.adapters = before->adapters;
+  }
 }
 
 }  // namespace
@@ -68,24 +74,31 @@
   m_order.clear();
 }
 
-bool WorkerTable::List(const WorkerEntry& entry) {
+bool WorkerTable::List(TimePoint now, const WorkerEntry& entry) {
   Worker& worker = m_workers[entry.id];
   const bool first = worker.entry.id.empty();
   const bool restarted =
       !first && entry.contents.born != worker.entry.contents.born;
-  const bool state_changed = worker.entry.state != entry.state;
   if (restarted) {
     // why: a restarted worker holds and knows nothing of before
     worker.prompts.Clear();
     worker.avoid_until = TimePoint{};
     worker.failures_in_a_row = 0;
     worker.failure_share = 0;
+    worker.news_at = TimePoint{};
   }
+  const bool state_changed = worker.entry.state != entry.state;
   worker.entry = entry;
-  if (!first && !IsNewer(entry.contents, worker.contents))
-    return state_changed;
-  worker.contents = entry.contents;
-  return true;
+  EngineContents listed = entry.contents;
+  const bool told = !first && !restarted && worker.news_at != TimePoint{};
+  if (told && now - worker.news_at < kListLag)
+    listed.models = worker.contents.models;
+  else if (told)
+    KeepKnownAdapters(worker.contents, listed);
+  const bool changed = first || restarted || state_changed ||
+                       listed.models != worker.contents.models;
+  worker.contents = std::move(listed);
+  return changed;
 }
 
 bool WorkerTable::Unlist(const std::string& id) {
@@ -109,10 +122,12 @@
   for (auto& [id, worker] : m_workers) {
     if (IpOf(worker.entry.address) != ip)
       continue;
-    if (IsNewer(worker.contents, news.contents))
+    // why: it speaks of an earlier or later run than the list knows
+    if (worker.contents.born != news.contents.born)
       return nullptr;
-    worker.contents = news.contents;
+    worker.contents.models = news.contents.models;
     worker.queued_loads = news.queued.size();
+    worker.engine_waiting = news.waiting;
     worker.news_at = now;
     return &worker;
   }
--- a/source/core/serving/worker_table.h
+++ b/source/core/serving/worker_table.h
@@ -44,6 +44,8 @@
   // Asks that its controller has not carried out, by its last news.
   std::size_t queued_loads = 0;
   TimePoint news_at = TimePoint{};
+  // Requests of all routers that wait in the engine, by its last news.
+  std::uint32_t engine_waiting = 0;
   PromptMemory prompts;
 
   // What this router has there now.
@@ -67,14 +69,14 @@
 class WorkerTable {
  public:
   // Returns whether anything that a choice rests on has changed.
-  bool List(const WorkerEntry& entry);
+  bool List(TimePoint now, const WorkerEntry& entry);
   // Returns whether it was there.
   bool Unlist(const std::string& id);
   // Ids of the workers that are not among `ids`.
   std::vector<std::string> Missing(const std::vector<std::string>& ids) const;
 
-  // News from the controller at `ip`; returns the worker it is about, if its
-  // contents are newer than known.
+  // News from the controller at `ip`; returns the worker that they are about, if
+  // it is known.
   Worker* TakeNews(TimePoint now, const std::string& ip, const EngineNews& news);
 
   Worker* Find(const std::string& id);
--- a/source/core/store/key_watcher.cc
+++ b/source/core/store/key_watcher.cc
@@ -100,7 +100,10 @@
   }
   m_revision = std::max(m_revision, changes.revision);
   effects.emplace_back(KeysProven{.at = m_called});
-  effects.push_back(NextCall(now));
+  if (changes.changes.empty() || m_options.change_pause == Duration::zero())
+    effects.push_back(NextCall(now));
+  else
+    m_next_call = now + m_options.change_pause;
   return effects;
 }
 
--- a/source/core/store/key_watcher.h
+++ b/source/core/store/key_watcher.h
@@ -97,6 +97,9 @@
   Duration wait = std::chrono::seconds(1);
   // The pause after a call that failed, with up to as much again at random.
   Duration retry_pause = std::chrono::milliseconds(120);
+  // After changes the next watch begins so much later, so that many changes
+  // cost few calls.
+  Duration change_pause = Duration::zero();
   std::uint64_t random_seed = 1;
 };
 
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -41,6 +41,8 @@
 
 // The configuration need not be newer at a controller.
 inline constexpr Duration kControllerWatchWait = std::chrono::seconds(20);
+// Workers report each order in their entries; controllers tell sooner.
+inline constexpr Duration kWorkerChangePause = std::chrono::milliseconds(500);
 inline constexpr Duration kGatewayWatchWait = std::chrono::milliseconds(1'000);
 
 // What both processes have: the loop, the log, the peers, the store.
@@ -62,9 +64,12 @@
   std::uint64_t Seed() const {
     return StableHash(m_settings.vm, m_incarnation);
   }
-  WatcherOptions Watch(std::string_view prefix, Duration wait) const {
+  WatcherOptions Watch(std::string_view prefix,
+                       Duration wait,
+                       Duration change_pause = Duration::zero()) const {
     return {.prefix = std::string(prefix),
             .wait = wait,
+            .change_pause = change_pause,
             .random_seed = Seed()};
   }
   void Log(LogEvent event, std::vector<LogField> fields) {
@@ -169,7 +174,8 @@
   void Run() {
     m_peers.Start();
     m_store.Watch(this->Watch(Protocol::kOperatorPrefix, kGatewayWatchWait));
-    m_store.Watch(this->Watch(Protocol::kWorkerPrefix, kGatewayWatchWait));
+    m_store.Watch(this->Watch(Protocol::kWorkerPrefix, kGatewayWatchWait,
+                              kWorkerChangePause));
     this->LogStarted();
     m_loop.Run();
     m_peers.Stop();
--- a/source/wire/peer_codec.cc
+++ b/source/wire/peer_codec.cc
@@ -357,6 +357,7 @@
   out.set_model(message.model);
   out.set_adapter(message.adapter);
   out.set_waiting(message.waiting);
+  out.set_milli_requests(message.milli_requests);
   for (const ModelValue& value : message.values) {
     wire::ModelValue& added = *out.add_values();
     added.set_model(value.model);
@@ -367,7 +368,8 @@
 LoadAsk Get(wire::LoadAsk& in) {
   LoadAsk ask{.model = in.model(),
               .adapter = in.adapter(),
-              .waiting = in.waiting()};
+              .waiting = in.waiting(),
+              .milli_requests = in.milli_requests()};
   for (const wire::ModelValue& value : in.values())
     ask.values.push_back({.model = value.model(),
                           .milli_requests = value.milli_requests()});
@@ -378,7 +380,6 @@
   wire::EngineNews& out = *envelope.mutable_engine_news();
   wire::EngineContents& contents = *out.mutable_contents();
   contents.set_born(message.contents.born);
-  contents.set_sequence(message.contents.sequence);
   for (const LoadedModel& model : message.contents.models) {
     wire::LoadedModel& added = *contents.add_models();
     added.set_name(model.name);
@@ -386,25 +387,18 @@
     for (const std::string& adapter : model.adapters)
       added.add_adapters(adapter);
   }
-  for (const std::string& name : message.contents.in_memory)
-    contents.add_in_memory(name);
-  for (const std::string& name : message.contents.on_disk)
-    contents.add_on_disk(name);
   for (const std::string& name : message.queued)
     out.add_queued(name);
   out.set_busy(message.busy);
+  out.set_waiting(message.waiting);
 }
 
 EngineNews Get(wire::EngineNews& in) {
   const wire::EngineContents& contents = in.contents();
-  EngineNews news{.contents = {.born = contents.born(),
-                               .sequence = contents.sequence(),
-                               .in_memory = {contents.in_memory().begin(),
-                                             contents.in_memory().end()},
-                               .on_disk = {contents.on_disk().begin(),
-                                           contents.on_disk().end()}},
+  EngineNews news{.contents = {.born = contents.born()},
                   .queued = {in.queued().begin(), in.queued().end()},
-                  .busy = in.busy()};
+                  .busy = in.busy(),
+                  .waiting = in.waiting()};
   for (const wire::LoadedModel& model : contents.models())
     news.contents.models.push_back(
         {.name = model.name(),
