Keep requests from models being unloaded, drain in order, divide the retry budget

A router being stopped took requests on old connections until its end and cut them. A time-out said "not run" of a request that was at a worker. Ruled out: the engine's memory as the reason of its refusals (no preemption).

--- a/source/core/engine/engine_controller.cc
+++ b/source/core/engine/engine_controller.cc
@@ -200,9 +200,11 @@
        {"after_ms", std::to_string((now - m_order->sent).count() / 1'000)}});
   // why: what an order has changed is only known from the engine's account
   m_next_read = now;
-  if (event.outcome == OrderOutcome::kRefused ||
-      event.outcome == OrderOutcome::kHolds)
-    m_order.reset();
+  if (event.outcome != OrderOutcome::kRefused &&
+      event.outcome != OrderOutcome::kHolds)
+    return;
+  m_order.reset();
+  Tell(now);
 }
 
 void EngineController::CheckOrder(TimePoint now) {
@@ -259,6 +261,8 @@
     m_order = OpenOrder{.order = *order, .sent = now};
     m_next_read = now + kReadWhileBusy;
     Emit(SendOrder{.order = *std::move(order)});
+    if (m_order->order.kind == OrderKind::kUnload)
+      Tell(now);
     return;
   }
 }
@@ -389,6 +393,9 @@
   EngineNews news{.contents = m_report->contents,
                   .busy = m_report->busy,
                   .waiting = m_report->waiting};
+  // why: while it is being unloaded, requests for it are turned away
+  if (m_order && m_order->order.kind == OrderKind::kUnload)
+    news.contents.Drop(m_order->order.model, m_order->order.adapter);
   for (const Need& need : m_needs)
     news.queued.push_back(WeightsName(need.model, need.adapter));
   return news;
--- a/source/core/routing/retry_budget.h
+++ b/source/core/routing/retry_budget.h
@@ -25,6 +25,11 @@
   explicit RetryBudget(const RetryBudgetOptions& options)
       : m_options(options), m_saved(options.initial) {}
 
+  void Configure(const RetryBudgetOptions& options) {
+    m_options = options;
+    m_saved = std::min(m_saved, options.max_saved);
+  }
+
   void FirstRequest() {
     m_saved = std::min(m_saved + m_options.share, m_options.max_saved);
   }
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -464,7 +464,7 @@
 
 void RequestTable::NotExecuted(TimePoint now, Exchange& exchange) {
   // `attempt` is closed already; what remains is where to send it next.
-  const bool may = exchange.sends < kMaxSends && m_budget.TakeRetry();
+  const bool may = exchange.sends < kMaxSends && BudgetFor(exchange.service).TakeRetry();
   if (!may) {
     if (exchange.committed)
       return Abort(now, exchange, "workers full");
@@ -504,7 +504,7 @@
   CancelRunning(exchange);
   const bool may = exchange.route->Repeatable() &&
                    MayRetry(now, exchange, /*has_run=*/true) &&
-                   m_budget.TakeRetry();
+                   BudgetFor(exchange.service).TakeRetry();
   ++exchange.runs;
   if (may)
     return Retry(now, exchange, why);
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -15,20 +15,43 @@
 constexpr Duration kShortestPatience = std::chrono::milliseconds(2'000);
 // Refusals that come in time to be of use: before the caller's own end.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(40);
+// Until the other routers are known, at least so many are assumed.
+constexpr std::size_t kLeastRoutersAssumed = 5;
+// What is used of the fleet's allowance; the rest is for windows that cut
+// across changes of the fleet.
+constexpr double kRetryShareUsed = 0.6;
+constexpr double kRetryReserveUsed = 0.7;
 constexpr Duration kRetryAfterHold = std::chrono::milliseconds(500);
 constexpr Duration kRetryAfterFull = std::chrono::milliseconds(200);
 
-RetryBudgetOptions BudgetOf(const ServingOptions& options) {
-  // why: the other routers spend their parts of the reserve, too
-  return {.share = options.retry_share,
-          .max_saved = options.retry_reserve,
-          .initial = options.retry_reserve};
+// The part of the fleet's retries that is this router's: its own first requests
+// pay for it, and the reserve is divided.
+RetryBudgetOptions BudgetOf(const ServingOptions& options,
+                            std::size_t routers) {
+  const double part =
+      options.retry_reserve /
+      static_cast<double>(std::max(routers, kLeastRoutersAssumed));
+  // why: a router that starts again has no memory of what it spent before
+  return {.share = options.retry_share * kRetryShareUsed,
+          .max_saved = part * kRetryReserveUsed,
+          .initial = part * kRetryReserveUsed / 2};
 }
 
 }  // namespace
 
 RequestTable::RequestTable(ServingState& state)
-    : m_state(state), m_budget(BudgetOf(state.options)) {}
+    : m_state(state) {}
+
+RetryBudget& RequestTable::BudgetFor(const std::string& service) {
+  return m_budgets
+      .try_emplace(service, BudgetOf(m_state.options, m_state.routers))
+      .first->second;
+}
+
+void RequestTable::RoutersChanged() {
+  for (auto& [service, budget] : m_budgets)
+    budget.Configure(BudgetOf(m_state.options, m_state.routers));
+}
 
 Exchange* RequestTable::Find(RequestId id) {
   const auto found = m_exchanges.find(id);
@@ -55,7 +78,7 @@
   exchange.deadline =
       now + std::min(exchange.route->timeout,
                      exchange.request->patience.value_or(Duration::max() / 4));
-  m_budget.FirstRequest();
+  BudgetFor(exchange.service).FirstRequest();
   if (!exchange.request->model.empty())
     m_loads.RecordRequest(now, exchange.request->model);
   CheckAt(exchange, exchange.deadline);
@@ -187,6 +210,9 @@
                {"runs", std::to_string(exchange.runs)}});
   if (exchange.committed)
     return Abort(now, exchange, "timed out");
+  // why: what is at a worker now may have run
+  if (exchange.attempt)
+    ++exchange.runs;
   CancelRunning(exchange);
   Refuse(now, exchange,
          exchange.runs == 0 ? ServingRefusal::kTimedOutBeforeRun
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -50,6 +50,9 @@
   // The worker has left: nothing new goes there, what runs there goes on.
   void Tick(TimePoint now);
 
+  // The number of routers that share the fleet's limits has changed.
+  void RoutersChanged();
+
   // Has models that are at hand nowhere loaded before they are asked for, a few
   // at a time.
   void PrepareModels(TimePoint now);
@@ -61,6 +64,8 @@
   TeamQuota& quota() { return m_quota; }
 
  private:
+  RetryBudget& BudgetFor(const std::string& service);
+
   // Arrival.
   std::optional<ServingRefusal> Route(TimePoint now, Exchange& exchange);
   void PickService(Exchange& exchange);
@@ -116,7 +121,8 @@
   ServingState& m_state;
   LeastExpectedDelay m_policy;
   LoadPlanner m_loads;
-  RetryBudget m_budget;
+  // By service.
+  std::map<std::string, RetryBudget> m_budgets;
   TeamQuota m_quota;
   ServingMetrics m_metrics;
   std::unordered_map<RequestId, Exchange> m_exchanges;
--- a/source/core/serving/serving_messages.h
+++ b/source/core/serving/serving_messages.h
@@ -151,6 +151,9 @@
 struct CallerLimitsChanged {
   CallerLimits limits;
 };
+// The balancer has noticed that this router leaves: connections without a
+// request are closed, and no new ones are taken.
+struct StopAccepting {};
 // Nothing is left to do: the process may end.
 struct ServingDrained {};
 
@@ -166,6 +169,7 @@
                                    CallerLimitsChanged,
                                    SendToEndpoint,
                                    LogEffect,
+                                   StopAccepting,
                                    ServingDrained>;
 
 }  // namespace boragepick
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -8,6 +8,7 @@
 
 // Entries that lapsed during an outage are back this long after it.
 constexpr Duration kReturnTime = std::chrono::milliseconds(2'300);
+constexpr Duration kCrossing = std::chrono::milliseconds(300);
 constexpr Duration kPreparationPeriod = std::chrono::milliseconds(500);
 // The age of the keys' proof is looked at so often.
 constexpr Duration kKeyCheck = std::chrono::milliseconds(250);
@@ -176,8 +177,17 @@
   if (m_drained)
     return;
   const Duration drained_for = now - m_drain_started;
-  const bool done = drained_for >= m_state.options.drain_notice &&
-                    m_requests.open() == 0;
+  if (drained_for < m_state.options.drain_notice)
+    return;
+  if (!std::exchange(m_stopped_accepting, true)) {
+    m_state.Emit(StopAccepting{});
+    return;
+  }
+  // why: requests that crossed the closing of their connection arrive a little
+  // later
+  const bool done =
+      drained_for >= m_state.options.drain_notice + kCrossing &&
+      m_requests.open() == 0;
   if (!done && drained_for < m_state.options.drain_limit)
     return;
   m_drained = true;
--- a/source/core/serving/serving_router.h
+++ b/source/core/serving/serving_router.h
@@ -63,6 +63,7 @@
   bool m_ready = false;
   bool m_keys_current = false;
   bool m_draining = false;
+  bool m_stopped_accepting = false;
   bool m_drained = false;
   TimePoint m_drain_started = kNever;
   TimePoint m_next_preparation = TimePoint{};
--- a/source/core/serving/serving_state.h
+++ b/source/core/serving/serving_state.h
@@ -45,6 +45,8 @@
   TimePoint config_proven = TimePoint{};
   bool proven_once = false;
   WorkerTable workers;
+  // Routers that share the fleet's limits, this one among them; 0: not known.
+  std::size_t routers = 0;
   std::vector<ServingEffect> effects;
 
   void Emit(ServingEffect effect) { effects.push_back(std::move(effect)); }
--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -71,7 +71,8 @@
 }
 
 void HttpServer::Accept() {
-  while (m_connections.size() < m_limits.max_connections) {
+  while (m_listener >= 0 &&
+         m_connections.size() < m_limits.max_connections) {
     const int fd = accept4(m_listener, nullptr, nullptr,
                            SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0)
@@ -250,6 +251,11 @@
 
 void HttpServer::On(const ServeFinish& /*message*/) {
   m_draining = true;
+  if (m_listener >= 0) {
+    m_loop.RemoveWatch(m_listener);
+    close(m_listener);
+    m_listener = -1;
+  }
   std::vector<ConnectionId> idle;
   for (const auto& [id, connection] : m_connections) {
     if (connection->exchange == 0 && !connection->parser)
--- a/source/frontends/http/http_server.h
+++ b/source/frontends/http/http_server.h
@@ -55,9 +55,9 @@
   std::size_t max_connections = 3'000;
 };
 
-// Ends idle connections: answers from now on close theirs.
+// Answers from now on close their connections.
 struct ServeDrain {};
-// Closes connections that have no request, and ends when the last is gone.
+// Takes no new connection and closes those that have no request.
 struct ServeFinish {};
 
 using ServerMessage = std::variant<ServeWhole,
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -208,8 +208,8 @@
   void Carry(const ForgetWorker& effect) { m_upstreams.Carry(effect); }
   void Carry(SendToEndpoint effect) { m_peers.Post(std::move(effect)); }
   void Carry(LogEffect effect) { m_log.Post(std::move(effect.record)); }
+  void Carry(const StopAccepting&) { m_front.Finish(); }
   void Carry(const ServingDrained&) {
-    m_front.Finish();
     // why: the last answers still leave
     constexpr auto kLinger = std::chrono::milliseconds(150);
     m_loop.At(ReadBootClock() + kLinger, [this] { m_loop.Quit(); });
--- a/source/frontends/serving/serving_settings.h
+++ b/source/frontends/serving/serving_settings.h
@@ -48,7 +48,7 @@
     "limits", "key_revocation_ms", 5'000, 100, 3'600'000,
     "a withdrawn key stops working within this time"};
 inline constexpr NumberSetting kRetryPercent{
-    "limits", "retry_percent", 10, 0, 100,
+    "limits", "retry_percent", 20, 0, 100,
     "retries over the fleet, as a share of first requests"};
 inline constexpr NumberSetting kRetryReserve{
     "limits", "retry_reserve", 50, 0, 1'000'000,
