Fill free memory, tell routers of queues, watch everything with one call

Change: models that nobody has loaded go into free memory; a new ask is told to all routers that listen; a model that came within 3 s gives way last; one watch of everything, with a pause after changes of workers only.

--- a/source/core/engine/engine_controller.cc
+++ b/source/core/engine/engine_controller.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <tuple>
 
 #include "core/serving/load_planner.h"
 
@@ -28,6 +29,9 @@
 constexpr std::uint64_t kValueStep = 200;
 // An order without an answer is decided by the engine's account after so long.
 constexpr Duration kOrderPatience = std::chrono::milliseconds(700);
+// A model that came this lately is probably answering what it came for: its
+// unloading would have to wait for that.
+constexpr Duration kProbablyInUse = std::chrono::milliseconds(3'000);
 constexpr Duration kFenceAskPause = std::chrono::milliseconds(300);
 constexpr std::size_t kMaxAdaptersComing = 4;
 
@@ -45,6 +49,15 @@
   return sum;
 }
 
+bool EngineController::GoesBefore(const Need& left, const Need& right) {
+  // why: an adapter takes a hundredth of the time of a model
+  if (left.adapter.empty() != right.adapter.empty())
+    return right.adapter.empty();
+  if (left.Waiting() != right.Waiting())
+    return left.Waiting() > right.Waiting();
+  return left.first_asked < right.first_asked;
+}
+
 std::uint64_t EngineController::Need::MilliRequests() const {
   std::uint64_t sum = 0;
   for (const auto& [router, asker] : askers)
@@ -121,16 +134,22 @@
     return need.model == ask.model && need.adapter == ask.adapter;
   };
   auto found = std::ranges::find_if(m_needs, same);
+  bool is_new = false;
   if (found == m_needs.end()) {
     m_needs.push_back(
         {.model = ask.model, .adapter = ask.adapter, .first_asked = now});
     found = std::prev(m_needs.end());
     m_next_read = std::min(m_next_read, now + kReadWhileBusy);
+    is_new = true;
   }
   found->last_asked = now;
   found->askers[from] = {
       .waiting = ask.waiting, .milli_requests = ask.milli_requests, .at = now};
-  TellOne(from);
+  // why: routers spread their asks by the queues that they know of
+  if (is_new)
+    Tell(now);
+  else
+    TellOne(from);
   Proceed(now);
 }
 
@@ -230,14 +249,7 @@
                         !m_report->busy && !m_draining;
   if (!possible || m_needs.empty())
     return;
-  std::ranges::stable_sort(m_needs, [](const Need& left, const Need& right) {
-    // why: an adapter takes a hundredth of the time of a model
-    if (left.adapter.empty() != right.adapter.empty())
-      return right.adapter.empty();
-    if (left.Waiting() != right.Waiting())
-      return left.Waiting() > right.Waiting();
-    return left.first_asked < right.first_asked;
-  });
+  std::ranges::stable_sort(m_needs, GoesBefore);
   for (const Need& need : m_needs) {
     std::optional<EngineOrder> order = OrderFor(now, need);
     if (!order)
@@ -299,13 +311,15 @@
 std::optional<EngineOrder> EngineController::EvictModel(
     TimePoint now,
     const Need& need) const {
+  // why: what nobody waits for only takes free memory
+  if (need.Waiting() == 0)
+    return std::nullopt;
+  const std::uint64_t limit =
+      need.MilliRequests() + kValueOfWaiting * need.Waiting();
   const double missing_mb =
       UsedMb() + m_spec->models.at(need.model).memory_mb - m_spec->memory_mb;
-  const std::uint64_t limit =
-      need.MilliRequests() +
-      kValueOfWaiting * std::max<std::uint64_t>(1, need.Waiting());
   const LoadedModel* victim = nullptr;
-  std::pair<std::uint64_t, double> least;
+  std::tuple<std::uint64_t, bool, double> least;
   for (const LoadedModel& model : m_report->contents.models) {
     const auto loaded = m_loaded_at.find(model.name);
     const bool fresh =
@@ -313,12 +327,15 @@
     const std::uint64_t value = ValueOf(now, model.name);
     if (fresh || value >= limit)
       continue;
-    // why: of models alike in value, one that makes room alone goes first
+    // why: of models alike in value, the smallest that makes room alone goes
+    // first
     const auto spec = m_spec->models.find(model.name);
     const double memory_mb =
         spec == m_spec->models.end() ? 0 : spec->second.memory_mb;
-    const std::pair<std::uint64_t, double> rank{
-        value / kValueStep,
+    const bool in_use =
+        loaded != m_loaded_at.end() && now - loaded->second < kProbablyInUse;
+    const std::tuple<std::uint64_t, bool, double> rank{
+        value / kValueStep, in_use,
         memory_mb >= missing_mb ? memory_mb : m_spec->memory_mb - memory_mb};
     if (victim != nullptr && rank >= least)
       continue;
--- a/source/core/engine/engine_controller.h
+++ b/source/core/engine/engine_controller.h
@@ -138,6 +138,7 @@
     std::uint64_t Waiting() const;
     std::uint64_t MilliRequests() const;
   };
+  static bool GoesBefore(const Need& left, const Need& right);
   struct OpenOrder {
     EngineOrder order;
     TimePoint sent;
--- a/source/core/serving/load_planner.cc
+++ b/source/core/serving/load_planner.cc
@@ -76,6 +76,14 @@
          Contains(contents.on_disk, model);
 }
 
+// Free memory, and nothing that would take it first.
+bool HasRoomFor(const EngineSpec& engine,
+                const Worker& worker,
+                const EngineModel& model) {
+  return worker.queued_loads == 0 &&
+         UsedMb(engine, worker.contents) + model.memory_mb <= engine.memory_mb;
+}
+
 // A load's time, weighed for the choice of a worker.
 Duration LoadTime(const EngineModel& model, const EngineContents& contents) {
   if (Contains(contents.in_memory, model.name))
@@ -241,7 +249,11 @@
         worker->Usable(now) &&
         (need.adapter.empty() ? worker->contents.Find(need.model) == nullptr
                               : worker->contents.Find(need.model) != nullptr);
-    if (!possible)
+    const bool takes_room =
+        need.waiting == 0 && need.adapter.empty() &&
+        !(HasRoomFor(engine, *worker, engine.models.at(need.model)) &&
+          IsAtHand(worker->contents, need.model));
+    if (!possible || takes_room)
       continue;
     Duration cost = worker->entry.id == keep
                         ? Duration::zero()
@@ -289,6 +301,24 @@
   return missing;
 }
 
+std::vector<std::string> LoadPlanner::WorthLoading(
+    const EngineSpec& engine,
+    std::span<Worker* const> workers) {
+  std::vector<std::string> names;
+  for (const auto& [name, model] : engine.models) {
+    if (HoldersOf(workers, name) > 0)
+      continue;
+    const bool possible =
+        std::ranges::any_of(workers, [&](const Worker* worker) {
+          return HasRoomFor(engine, *worker, model) &&
+                 IsAtHand(worker->contents, name);
+        });
+    if (possible)
+      names.push_back(name);
+  }
+  return names;
+}
+
 void LoadPlanner::Settle(const std::string& model, const std::string& adapter) {
   m_wishes.erase(WeightsName(model, adapter));
 }
--- a/source/core/serving/load_planner.h
+++ b/source/core/serving/load_planner.h
@@ -30,7 +30,7 @@
 struct WeightsNeed {
   std::string model;
   std::string adapter;
-  // Requests that wait for it.
+  // Requests that wait for it. With none it only takes free memory.
   std::uint32_t waiting = 0;
 };
 
@@ -53,6 +53,12 @@
       const EngineSpec& engine,
       std::span<Worker* const> workers);
 
+  // Models that no worker has loaded, though some has a copy at hand and free
+  // memory for it.
+  static std::vector<std::string> WorthLoading(
+      const EngineSpec& engine,
+      std::span<Worker* const> workers);
+
   // The weights have come, or nobody waits for them any more.
   void Settle(const std::string& model, const std::string& adapter);
 
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -9,7 +9,9 @@
 
 // Loads from the weight store that routers have going before anybody asks: as
 // many as the store bears at full speed.
-constexpr std::size_t kPreparedAtOnce = 4;
+constexpr std::size_t kPreparedFromStore = 4;
+// Loads into free memory begun at a time.
+constexpr std::size_t kPreparedAtOnce = 12;
 // Sendings of one request, rejected ones included.
 constexpr std::uint32_t kMaxSends = 5;
 // A held request looks again for a worker after so long at the latest.
@@ -145,11 +147,20 @@
     if (!service.engine)
       continue;
     const std::vector<Worker*> workers = UsableWorkers(now, name);
-    std::vector<std::string> missing = LoadPlanner::NowhereAtHand(
-        *service.engine, std::span<Worker* const>(workers));
-    if (missing.size() > kPreparedAtOnce)
-      missing.resize(kPreparedAtOnce);
+    const std::span<Worker* const> all(workers);
+    std::vector<std::string> missing =
+        LoadPlanner::NowhereAtHand(*service.engine, all);
+    if (missing.size() > kPreparedFromStore)
+      missing.resize(kPreparedFromStore);
+    // why: these count as waited for, so that they may take another's place
     for (const std::string& model : missing)
+      AskLoad(now, *service.engine, workers, {.model = model, .waiting = 1},
+              "preparation");
+    std::vector<std::string> idle =
+        LoadPlanner::WorthLoading(*service.engine, all);
+    if (idle.size() > kPreparedAtOnce)
+      idle.resize(kPreparedAtOnce);
+    for (const std::string& model : idle)
       AskLoad(now, *service.engine, workers, {.model = model}, "preparation");
   }
 }
--- a/source/core/serving/worker_table.cc
+++ b/source/core/serving/worker_table.cc
@@ -127,7 +127,11 @@
     if (worker.contents.born != news.contents.born)
       return nullptr;
     worker.contents.models = news.contents.models;
-    worker.queued_loads = news.queued.size();
+    // why: adapters take a hundredth of a model's time
+    worker.queued_loads = static_cast<std::size_t>(
+        std::ranges::count_if(news.queued, [](const std::string& name) {
+          return name.find('/') == std::string::npos;
+        }));
     worker.engine_waiting = news.waiting;
     worker.news_at = now;
     return &worker;
--- a/source/core/store/key_watcher.cc
+++ b/source/core/store/key_watcher.cc
@@ -102,13 +102,22 @@
   }
   m_revision = std::max(m_revision, changes.revision);
   effects.emplace_back(KeysProven{.at = m_called});
-  if (changes.changes.empty() || m_options.change_pause == Duration::zero())
-    effects.push_back(NextCall(now));
-  else
+  if (MayPause(changes))
     m_next_call = now + m_options.change_pause;
+  else
+    effects.push_back(NextCall(now));
   return effects;
 }
 
+bool KeyWatcher::MayPause(const StoreChanges& changes) const {
+  return m_options.change_pause > Duration::zero() &&
+         !changes.changes.empty() &&
+         std::ranges::all_of(
+             changes.changes, [this](const StoreChange& change) {
+               return change.item.key.starts_with(m_options.patient_prefix);
+             });
+}
+
 std::vector<WatcherEffect> KeyWatcher::WatchFailed(TimePoint now,
                                                    WatchFailure failure) {
   std::vector<WatcherEffect> effects;
--- a/source/core/store/key_watcher.h
+++ b/source/core/store/key_watcher.h
@@ -100,9 +100,10 @@
   Duration wait = std::chrono::seconds(1);
   // The pause after a call that failed, with up to as much again at random.
   Duration retry_pause = std::chrono::milliseconds(120);
-  // After changes the next watch begins so much later, so that many changes
-  // cost few calls.
+  // After changes that are all below `patient_prefix` the next watch begins so
+  // much later, so that many changes cost few calls.
   Duration change_pause = Duration::zero();
+  std::string patient_prefix;
   std::uint64_t random_seed = 1;
 };
 
@@ -128,6 +129,7 @@
   enum class Phase { kReading, kWatching };
 
   WatcherEffect NextCall(TimePoint now);
+  bool MayPause(const StoreChanges& changes) const;
   void Pause(TimePoint now);
   void Reached(std::vector<WatcherEffect>& effects);
   void Failed(TimePoint now,
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -43,12 +43,10 @@
 
 // The configuration need not be newer at a controller.
 inline constexpr Duration kControllerWatchWait = std::chrono::seconds(20);
-// Routers and shares change seldom.
-inline constexpr Duration kFleetWatchWait = std::chrono::seconds(5);
 inline constexpr Duration kRunNumberPause = std::chrono::milliseconds(300);
 // Workers report each order in their entries; controllers tell sooner.
 inline constexpr Duration kWorkerChangePause = std::chrono::milliseconds(500);
-inline constexpr Duration kGatewayWatchWait = std::chrono::milliseconds(1'000);
+inline constexpr Duration kGatewayWatchWait = std::chrono::milliseconds(1'500);
 
 // What both processes have: the loop, the log, the peers, the store.
 template <ServingProtocol Protocol>
@@ -69,13 +67,8 @@
   std::uint64_t Seed() const {
     return StableHash(m_settings.vm, m_incarnation);
   }
-  WatcherOptions Watch(std::string_view prefix,
-                       Duration wait,
-                       Duration change_pause = Duration::zero()) const {
-    return {.prefix = std::string(prefix),
-            .wait = wait,
-            .change_pause = change_pause,
-            .random_seed = Seed()};
+  WatcherOptions Watch(std::string_view prefix, Duration wait) const {
+    return {.prefix = std::string(prefix), .wait = wait, .random_seed = Seed()};
   }
   void Log(LogEvent event, std::vector<LogField> fields) {
     m_log.Post({.event = event, .fields = std::move(fields)});
@@ -189,10 +182,11 @@
 
   void Run() {
     m_peers.Start();
-    m_store.Watch(this->Watch(Protocol::kOperatorPrefix, kGatewayWatchWait));
-    m_store.Watch(this->Watch(Protocol::kWorkerPrefix, kGatewayWatchWait,
-                              kWorkerChangePause));
-    m_store.Watch(this->Watch(kSystemPrefix, kFleetWatchWait));
+    // why: one watch of everything costs a third of the calls of three
+    WatcherOptions everything = this->Watch("", kGatewayWatchWait);
+    everything.change_pause = kWorkerChangePause;
+    everything.patient_prefix = Protocol::kWorkerPrefix;
+    m_store.Watch(std::move(everything));
     this->LogStarted();
     AskIncarnation();
     m_loop.Run();
@@ -313,34 +307,29 @@
           RouterGone{.vm = RouterOf(removed.key),
                      .revision = static_cast<Revision>(removed.revision)});
   }
-  void Take(const std::string& prefix, const KeysSynced& synced) {
-    if (prefix == Protocol::kWorkerPrefix) {
-      WorkersSynced workers;
-      for (const std::string& key : synced.keys)
+  void Take(const std::string& /*prefix*/, const KeysSynced& synced) {
+    WorkersSynced workers;
+    RoutersSynced routers{.revision = static_cast<Revision>(synced.revision)};
+    for (const std::string& key : synced.keys) {
+      if (key.starts_with(Protocol::kWorkerPrefix))
         workers.ids.push_back(WorkerIdOf(key));
-      m_machine.Post(std::move(workers));
-    } else if (prefix == kSystemPrefix) {
-      RoutersSynced routers{.revision = static_cast<Revision>(synced.revision)};
-      for (const std::string& key : synced.keys) {
-        if (key.starts_with(kRouterPrefix))
-          routers.vms.push_back(RouterOf(key));
-      }
-      m_machine.Post(std::move(routers));
+      else if (key.starts_with(kRouterPrefix))
+        routers.vms.push_back(RouterOf(key));
     }
+    m_machine.Post(std::move(workers));
+    m_machine.Post(std::move(routers));
   }
-  void Take(const std::string& prefix, const KeysProven& proven) {
-    if (prefix == Protocol::kOperatorPrefix && m_config_readable)
+  void Take(const std::string& /*prefix*/, const KeysProven& proven) {
+    if (m_config_readable)
       m_machine.Post(ConfigProven{.at = proven.at});
   }
   void Take(const std::string& prefix, const StoreLost& lost) {
     this->LogStore(prefix, lost);
-    if (prefix == Protocol::kWorkerPrefix)
-      m_machine.Post(WorkerListLost{});
+    m_machine.Post(WorkerListLost{});
   }
   void Take(const std::string& prefix, const StoreRegained& regained) {
     this->LogStore(prefix, regained);
-    if (prefix == Protocol::kWorkerPrefix)
-      m_machine.Post(WorkerListRegained{});
+    m_machine.Post(WorkerListRegained{});
   }
 
   void Drain() {
--- a/source/wire/record_codec.h
+++ b/source/wire/record_codec.h
@@ -23,8 +23,6 @@
 
 // The records of routers, each under a lease of its own.
 inline constexpr const char* kRouterPrefix = "/boragepick/routers/";
-// What the feed and those have in common.
-inline constexpr const char* kSystemPrefix = "/boragepick/";
 // One key for each process; each run writes it and takes the write's revision
 // for its number.
 inline constexpr const char* kRunPrefix = "/boragepick-runs/";
