Answer held requests when a drain ends; leave a silent worker only for another

Ruled out: the crossing of requests and closes (the request was read and held). Change: at the end of a drain what did not run is refused as not run, the rest promises nothing; silence is acted on only where another worker could take over; a broken stream waits 1.8 s for a worker that can go on.

--- a/source/core/serving/exchange.cc
+++ b/source/core/serving/exchange.cc
@@ -20,7 +20,7 @@
     {ServingRefusal::kTimedOutBeforeRun, "timed_out_before_run", 503},
     {ServingRefusal::kTimedOut, "timed_out", 504},
     {ServingRefusal::kWorkerFailed, "worker_failed", 502},
-    {ServingRefusal::kCrashesWorkers, "crashes_workers", 502},
+    {ServingRefusal::kStopping, "stopping", 503},
 }};
 
 }  // namespace
--- a/source/core/serving/exchange.h
+++ b/source/core/serving/exchange.h
@@ -42,7 +42,7 @@
   kTimedOutBeforeRun,
   kTimedOut,
   kWorkerFailed,
-  kCrashesWorkers,
+  kStopping,
 };
 
 struct ServingRefusalRow {
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -16,6 +16,12 @@
 constexpr std::uint32_t kMaxSends = 5;
 // A held request looks again for a worker after so long at the latest.
 constexpr Duration kHoldCheck = std::chrono::milliseconds(100);
+// A broken stream waits so long for a worker that can go on: its caller gives
+// it up after a gap of two seconds or more.
+constexpr Duration kResumeHold = std::chrono::milliseconds(1'800);
+// A silent run that nobody else could take over is looked at again after so
+// long.
+constexpr Duration kSilenceCheck = std::chrono::milliseconds(200);
 // Another worker should load a model whose holders make a request wait longer.
 constexpr Duration kSpreadAbove = std::chrono::milliseconds(250);
 // A request that may be repeated is sent elsewhere when nothing has come for
@@ -203,7 +209,9 @@
   exchange.stage = ExchangeStage::kHeld;
   if (m_held.insert(exchange.request->id).second)
     ++m_waiting[exchange.weights];
-  const TimePoint limit = exchange.arrived + HoldLimit(exchange);
+  const TimePoint limit = exchange.committed
+                              ? exchange.held_since + kResumeHold
+                              : exchange.arrived + HoldLimit(exchange);
   if (now >= limit) {
     if (exchange.committed)
       return Abort(now, exchange, why);
@@ -540,6 +548,17 @@
   Dispatch(now, exchange);
 }
 
+bool RequestTable::HasOtherWorker(TimePoint now, const Exchange& exchange) {
+  const ServingRequest& request = *exchange.request;
+  const std::vector<Worker*> workers = UsableWorkers(now, exchange.service);
+  return std::ranges::any_of(workers, [&](const Worker* worker) {
+    return worker->entry.id != exchange.attempt->worker &&
+           !exchange.tried.contains(worker->entry.id) &&
+           (request.model.empty() ||
+            worker->contents.Holds(request.model, request.adapter));
+  });
+}
+
 void RequestTable::CheckProgress(TimePoint now, Exchange& exchange) {
   if (!exchange.route->Repeatable())
     return CheckAt(exchange, exchange.deadline);
@@ -555,6 +574,8 @@
   // give
   if (!MayRetry(now, exchange, /*has_run=*/true))
     return CheckAt(exchange, exchange.deadline);
+  if (!HasOtherWorker(now, exchange))
+    return CheckAt(exchange, now + kSilenceCheck);
   AttemptFailed(now, exchange, "silent");
 }
 
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -294,6 +294,26 @@
                             : ServingRefusal::kTimedOut);
 }
 
+void RequestTable::EndAll(TimePoint now) {
+  std::vector<RequestId> open;
+  for (const auto& [id, exchange] : m_exchanges)
+    open.push_back(id);
+  for (const RequestId id : open) {
+    Exchange& exchange = *Find(id);
+    if (exchange.committed) {
+      Abort(now, exchange, "stopping");
+      continue;
+    }
+    // why: what is at a worker now may have run
+    if (exchange.attempt)
+      ++exchange.runs;
+    CancelRunning(exchange);
+    Refuse(now, exchange,
+           exchange.runs > 0 ? ServingRefusal::kWorkerFailed
+                             : ServingRefusal::kStopping);
+  }
+}
+
 void RequestTable::Refuse(TimePoint now,
                           Exchange& exchange,
                           ServingRefusal refusal) {
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -50,6 +50,8 @@
   // The worker has left: nothing new goes there, what runs there goes on.
   void Tick(TimePoint now);
 
+  // The process ends: answers what is open as truly as can be.
+  void EndAll(TimePoint now);
   // The number of routers that share the fleet's limits has changed.
   void RoutersChanged();
   // Tokens may have come.
@@ -110,6 +112,8 @@
   bool MayRetry(TimePoint now, const Exchange& exchange, bool has_run) const;
   void Retry(TimePoint now, Exchange& exchange, const std::string& why);
   void CheckProgress(TimePoint now, Exchange& exchange);
+  // Whether another worker could take the running request over.
+  bool HasOtherWorker(TimePoint now, const Exchange& exchange);
 
   // Endings.
   void Refuse(TimePoint now, Exchange& exchange, ServingRefusal refusal);
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -210,6 +210,7 @@
                     m_requests.open() == 0;
   if (!done && drained_for < m_state.options.drain_limit)
     return;
+  m_requests.EndAll(now);
   m_drained = true;
   m_state.Emit(ServingDrained{});
 }
--- a/source/unit_tests/core/serving/serving_router_test.cc
+++ b/source/unit_tests/core/serving/serving_router_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "unit_tests/core/serving/serving_fixture.h"
 
 namespace boragepick {
@@ -162,6 +164,42 @@
   EXPECT_EQ(fixture.Take<AnswerEnded>().size(), 1U);
 }
 
+TEST(ServingRouter, ASilentWorkerIsLeftOnlyForAnother) {
+  ServingFixture fixture;
+  fixture.Begin();
+  // m1 is loaded at two workers, m2 at one
+  fixture.Arrive("/ask/1", "m1");
+  const auto left = fixture.Take<SendAttempt>();
+  fixture.Pass(seconds(2));
+  EXPECT_EQ(fixture.Take<CancelAttempt>().size(), 1U);
+  EXPECT_NE(fixture.Take<SendAttempt>()[0].worker, left[0].worker);
+  fixture.Arrive("/ask/1", "m2");
+  ASSERT_EQ(fixture.Take<SendAttempt>().size(), 1U);
+  fixture.Pass(seconds(2));
+  EXPECT_TRUE(fixture.Take<CancelAttempt>().empty());
+}
+
+TEST(ServingRouter, ABrokenStreamWaitsForItsModelElsewhere) {
+  ServingFixture fixture;
+  fixture.Begin();
+  fixture.Arrive("/ask/1", "m2");
+  const auto first = fixture.Take<SendAttempt>();
+  fixture.Answer(first[0].attempt);
+  for (int id = 1; id <= 20; ++id) {
+    fixture.Pass(milliseconds(200));
+    fixture.Event(first[0].attempt, id);
+  }
+  fixture.Feed(AttemptBroken{.attempt = first[0].attempt,
+                             .failure = AttemptFailure::kReset});
+  fixture.Pass(milliseconds(1'000));
+  EXPECT_TRUE(fixture.Take<AnswerAborted>().empty());
+  WorkerEntry loaded = EngineWorker("w3", {"m2"});
+  fixture.Feed(WorkerListed{.entry = loaded});
+  const auto second = fixture.Take<SendAttempt>();
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_EQ(second[0].resume_after, 20U);
+}
+
 TEST(ServingRouter, AStreamThatCantGoOnIsBrokenOff) {
   ServingFixture fixture;
   fixture.Begin();
@@ -273,6 +311,22 @@
   EXPECT_EQ(fixture.Take<ServingDrained>().size(), 1U);
 }
 
+TEST(ServingRouter, NothingEndsUnansweredWhenTheDrainIsOver) {
+  ServingFixture fixture;
+  fixture.Begin();
+  const RequestId held = fixture.Arrive("/review/1", "m3");
+  const RequestId running = fixture.Arrive("/review/1", "m1");
+  fixture.Feed(ServingDrainAsked{});
+  fixture.Pass(fixture.router().state().options.drain_limit +
+               milliseconds(100));
+  std::map<RequestId, unsigned> statuses;
+  for (const AnswerRefused& refused : fixture.Take<AnswerRefused>())
+    statuses[refused.id] = refused.status;
+  EXPECT_EQ(statuses[held], 503U);
+  EXPECT_EQ(statuses[running], 502U);
+  EXPECT_EQ(fixture.Take<ServingDrained>().size(), 1U);
+}
+
 TEST(ServingRouter, RetriesStayWithinTheBudget) {
   ServingFixture fixture({.vm = "r1",
                           .data_centre = "a",
