--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -36,6 +36,9 @@
        "its work."},
       {LogEvent::kStopped, kInfo, kDaemon, "stopped",
        "The process ends; nothing was cut."},
+      {LogEvent::kLogDropped, kWarning, kDaemon, "log_dropped",
+       "The log's output took nothing for a while; so many records were "
+       "dropped."},
       {LogEvent::kRequestRefused, kInfo, kRouting, "request_refused",
        "A request was refused; code and ran tell why and whether it ran."},
       {LogEvent::kRequestRouted, kInfo, kRouting, "request_routed",
--- a/source/common/log_event.h
+++ b/source/common/log_event.h
@@ -45,6 +45,7 @@
   kStarted = 100,
   kDraining = 101,
   kStopped = 102,
+  kLogDropped = 103,
   kRequestRefused = 200,
   kRequestRouted = 201,
   kRequestRetried = 202,
--- a/source/core/serving/load_planner.cc
+++ b/source/core/serving/load_planner.cc
@@ -291,7 +291,8 @@
     const EngineSpec& engine,
     std::span<Worker* const> workers) {
   std::vector<std::string> missing;
-  for (const auto& [name, model] : engine.models) {
+  for (const auto& entry : engine.models) {
+    const std::string& name = entry.first;
     const bool found = std::ranges::any_of(workers, [&](const Worker* worker) {
       return IsAtHand(worker->contents, name);
     });
@@ -305,7 +306,9 @@
     const EngineSpec& engine,
     std::span<Worker* const> workers) {
   std::vector<std::string> names;
-  for (const auto& [name, model] : engine.models) {
+  for (const auto& entry : engine.models) {
+    const std::string& name = entry.first;
+    const EngineModel& model = entry.second;
     if (HoldersOf(workers, name) > 0)
       continue;
     const bool possible =
--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -250,6 +250,7 @@
 
 void HttpServer::On(const ServeFinish& /*message*/) {
   m_draining = true;
+  m_finishing = true;
   if (m_listener >= 0) {
     m_loop.RemoveWatch(m_listener);
     close(m_listener);
@@ -269,7 +270,9 @@
   connection.exchange = 0;
   connection.chunked = false;
   connection.last_progress = ReadBootClock();
-  if (!connection.keep_alive)
+  // why: a stream that began before the drain has promised to keep its
+  // connection, and its client would send the next request to a dying process
+  if (!connection.keep_alive || m_finishing)
     return CloseInOrder(connection);
   // why: a next request may have come with the one just answered
   m_loop.Defer([this, id = connection.id] {
--- a/source/frontends/http/http_server.h
+++ b/source/frontends/http/http_server.h
@@ -128,6 +128,7 @@
   ConnectionId m_last_connection = 0;
   ExchangeId m_last_exchange = 0;
   bool m_draining = false;
+  bool m_finishing = false;
   EventLoop::TimerId m_sweep_timer;
   LoopMailbox<ServerMessage> m_mailbox;
 };
--- a/source/frontends/log_task.cc
+++ b/source/frontends/log_task.cc
@@ -57,8 +57,23 @@
 }
 
 void LogTask::Post(LogRecord record) {
-  if (m_decisions || !IsOfOneRequest(record.event))
-    m_mailbox.Post(std::move(record));
+  if (!m_decisions && IsOfOneRequest(record.event))
+    return;
+  if (m_waiting >= kMaxWaiting) {
+    ++m_dropped;
+    return;
+  }
+  ++m_waiting;
+  m_mailbox.Post(std::move(record));
+}
+
+void LogTask::WriteDropped() {
+  const std::uint64_t dropped = m_dropped;
+  if (dropped == m_dropped_written)
+    return;
+  Write({.event = LogEvent::kLogDropped,
+         .fields = {{"records", std::to_string(dropped - m_dropped_written)}}});
+  m_dropped_written = dropped;
 }
 
 void LogTask::Run() {
@@ -69,7 +84,9 @@
       if (std::holds_alternative<StopLog>(message))
         return;
       Write(std::get<LogRecord>(message));
+      --m_waiting;
     }
+    WriteDropped();
   }
 }
 
--- a/source/frontends/log_task.h
+++ b/source/frontends/log_task.h
@@ -1,6 +1,8 @@
 // The log: one thread owns the output; all others post numbered records to it.
 #pragma once
 
+#include <atomic>
+#include <cstdint>
 #include <string>
 #include <thread>
 #include <variant>
@@ -19,12 +21,21 @@
   LogTask(const LogTask&) = delete;
   LogTask& operator=(const LogTask&) = delete;
 
+  // Never blocks: while the output takes nothing, records beyond kMaxWaiting
+  // are dropped, and their number is written when it does again.
   void Post(LogRecord record);
 
+  static constexpr std::size_t kMaxWaiting = 10'000;
+  std::uint64_t dropped() const { return m_dropped; }
+
  private:
   void Run();
+  void WriteDropped();
 
   bool m_decisions;
+  std::atomic<std::size_t> m_waiting = 0;
+  std::atomic<std::uint64_t> m_dropped = 0;
+  std::uint64_t m_dropped_written = 0;
   struct StopLog {};
   Mailbox<std::variant<LogRecord, StopLog>> m_mailbox;
   std::thread m_thread;
--- a/source/unit_tests/frontends/http/http_test.cc
+++ b/source/unit_tests/frontends/http/http_test.cc
@@ -88,7 +88,8 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+            0);
   socklen_t size = sizeof(address);
   getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
   close(fd);
@@ -232,6 +233,21 @@
   EXPECT_FALSE(m_outcomes[refused].failed->sent);
 }
 
+TEST_F(HttpTest, AFinishedServerKeepsNoConnectionOfAnEarlierStream) {
+  ExchangeId open = 0;
+  Serve({}, [&](ExchangeId id, const HttpMessage&) {
+    open = id;
+    // the head still promises to keep the connection
+    m_server->Post(ServeHead{.id = id});
+  });
+  const CallId id = Call("");
+  ASSERT_TRUE(RunUntil([&] { return m_outcomes[id].status == 200; }));
+  m_server->Post(ServeFinish{});
+  m_server->Post(ServeEnd{.id = open});
+  ASSERT_TRUE(RunUntil([&] { return Over(id); }));
+  EXPECT_TRUE(RunUntil([&] { return m_server->connections() == 0; }));
+}
+
 TEST_F(HttpTest, ASlowHeadIsAnswered408) {
   Serve({.header_timeout = milliseconds(100)},
         [](ExchangeId, const HttpMessage&) {});
