Let a share of quota that was taken over accrue at once

Ruled out: missing configuration or keys (in force 0.1 s after the start), workers without models (the engines ran on).

Change: what accrues from the take-over on belongs to nobody else, so it counts at once; a quarter of the share's burst may be used before the loans of the earlier holder have lapsed. With the part at 0, the default, the old bound holds for every window. Routers that start together begin with different pages and go on with the next as soon as one is written.

--- a/source/core/quota/quota_desk.cc
+++ b/source/core/quota/quota_desk.cc
@@ -34,8 +34,7 @@
   entry.page = SharePageOf(team);
   const bool full = origin == TeamOrigin::kCreated;
   Reconfigure(now, entry,
-              full ? ShareBucket::Start::kFull
-                   : ShareBucket::Start::kEmptyAfterLoanLife);
+              full ? ShareBucket::Start::kFull : ShareBucket::Start::kEmpty);
 }
 
 void QuotaDesk::RemoveTeam(const std::string& team) {
@@ -52,7 +51,7 @@
   if (m_writing && m_writing->page == page.page &&
       page.revision > m_writing->revision)
     m_writing.reset();
-  ReconfigurePage(now, page.page, ShareBucket::Start::kEmptyAfterLoanLife);
+  ReconfigurePage(now, page.page, ShareBucket::Start::kEmpty);
 }
 
 std::uint32_t QuotaDesk::EffectiveUnits(std::uint32_t page) const {
@@ -73,7 +72,7 @@
     return;
   }
   if (units > 0)
-    team.bucket.emplace(now, team.spec, units, start);
+    team.bucket.emplace(now, team.spec, units, start, m_early_part);
 }
 
 void QuotaDesk::ReconfigurePage(TimePoint now,
@@ -268,7 +267,10 @@
     return std::nullopt;
   if (m_writing)
     return WriteAgain(now);
-  for (std::uint32_t number = 0; number < kSharePageCount; ++number) {
+  // why: routers that start together would all begin with the same page
+  const auto first = static_cast<std::uint32_t>(StableHash(m_self.vm));
+  for (std::uint32_t i = 0; i < kSharePageCount; ++i) {
+    const std::uint32_t number = (first + i) % kSharePageCount;
     if (!PageHasTeams(number))
       continue;
     SharePage page{.page = number};
@@ -280,7 +282,7 @@
       continue;
     m_writing = next;
     m_write_again_at = kNever;
-    ReconfigurePage(now, number, ShareBucket::Start::kEmptyAfterLoanLife);
+    ReconfigurePage(now, number, ShareBucket::Start::kEmpty);
     return next;
   }
   return std::nullopt;
@@ -309,9 +311,9 @@
   if (known == m_pages.end() || known->second.revision < revision)
     m_pages[page] = written;
   // why: nobody can have lent from a page that did not exist
-  ReconfigurePage(now, page,
-                  first_ever ? ShareBucket::Start::kFull
-                             : ShareBucket::Start::kEmptyAfterLoanLife);
+  ReconfigurePage(
+      now, page,
+      first_ever ? ShareBucket::Start::kFull : ShareBucket::Start::kEmpty);
 }
 
 bool QuotaDesk::HoldsShares() const {
--- a/source/core/quota/quota_desk.h
+++ b/source/core/quota/quota_desk.h
@@ -31,7 +31,9 @@
   // in a snapshot, when tokens may have been spent before.
   enum class TeamOrigin { kFound, kCreated };
 
-  explicit QuotaDesk(ProcessId self) : m_self(std::move(self)) {}
+  // `early_part`: see ShareBucket.
+  explicit QuotaDesk(ProcessId self, double early_part = 0)
+      : m_self(std::move(self)), m_early_part(early_part) {}
 
   void SetSelfListedVersion(std::uint64_t version) {
     m_self.listed_version = version;
@@ -127,6 +129,7 @@
   std::optional<SharePage> WriteAgain(TimePoint now);
 
   ProcessId m_self;
+  double m_early_part = 0;
   std::map<std::string, Team> m_teams;
   std::map<std::uint32_t, SharePage> m_pages;
   std::optional<SharePage> m_writing;
--- a/source/core/quota/share_bucket.cc
+++ b/source/core/quota/share_bucket.cc
@@ -18,8 +18,9 @@
 ShareBucket::ShareBucket(TimePoint now,
                          const TeamSpec& team,
                          std::uint32_t units,
-                         Start start)
-    : m_team(team), m_counted_until(now) {
+                         Start start,
+                         double early_part)
+    : m_team(team), m_early_part(early_part), m_counted_until(now) {
   if (start == Start::kFull) {
     m_units = units;
     m_level = CapacityExact();
@@ -43,7 +44,12 @@
 }
 
 double ShareBucket::CapacityExact() const {
-  return PartOf(m_team.burst_tokens, m_units);
+  return PartOf(m_team.burst_tokens, m_units) +
+         m_early_part * PartOf(m_team.burst_tokens, YoungUnits());
+}
+
+std::uint32_t ShareBucket::YoungUnits() const {
+  return m_pending.units > m_units ? m_pending.units - m_units : 0;
 }
 
 Tokens ShareBucket::Lend(TimePoint now, const LoanId& loan, Tokens wanted) {
@@ -110,7 +116,9 @@
 void ShareBucket::Accrue(TimePoint until) {
   if (until <= m_counted_until)
     return;
-  const double rate = PartOf(m_team.rate_tokens_per_second, m_units);
+  // why: the earlier holder has stopped, so what accrues now is nobody else's
+  const double rate =
+      PartOf(m_team.rate_tokens_per_second, m_units + YoungUnits());
   m_level += rate * ToSeconds(until - m_counted_until);
   m_counted_until = until;
   ClampLevel();
--- a/source/core/quota/share_bucket.h
+++ b/source/core/quota/share_bucket.h
@@ -31,18 +31,23 @@
 class ShareBucket {
  public:
   // kFull only where nobody can have lent from the share before. A share that
-  // was taken over starts empty, and only when the loans of its earlier holder
-  // have lapsed.
-  enum class Start { kFull, kEmptyAfterLoanLife };
-
+  // was taken over starts empty.
+  enum class Start { kFull, kEmpty };
+
+  // Until the loans that an earlier holder gave from a share have lapsed,
+  // `early_part` of its burst may be used, 0 to 1. Whatever the part, those
+  // loans and what accrues stay within burst + rate x window after the
+  // take-over; with more than 0, a window that begins later may exceed it by
+  // that part of the burst.
   ShareBucket(TimePoint now,
               const TeamSpec& team,
               std::uint32_t units,
-              Start start);
+              Start start,
+              double early_part = 0);
 
   // The team's numbers or the share have changed. A smaller share counts at
-  // once, a larger one when the loans that an earlier holder gave from it have
-  // lapsed.
+  // once, a larger one fully when the loans that an earlier holder gave from it
+  // have lapsed.
   void Configure(TimePoint now, const TeamSpec& team, std::uint32_t units);
 
   // Lends at most `wanted`; 0 when there is nothing to lend or the loan was
@@ -74,6 +79,8 @@
   };
 
   double CapacityExact() const;
+  // Units whose earlier holder's loans may not have lapsed.
+  std::uint32_t YoungUnits() const;
   void Advance(TimePoint now);
   // Counts what accrued up to `until` under the present share and loans.
   void Accrue(TimePoint until);
@@ -81,6 +88,7 @@
   void ClampLevel();
 
   TeamSpec m_team;
+  double m_early_part = 0;
   std::uint32_t m_units = 0;
   PendingUnits m_pending;
   double m_level = 0;
--- a/source/core/serving/serving_fleet.cc
+++ b/source/core/serving/serving_fleet.cc
@@ -15,6 +15,10 @@
 // part of the slack is added to it.
 constexpr double kSlackForBurst = 0.6;
 constexpr std::size_t kLeastRoutersAssumed = 8;
+// The part of a share's burst that its new holder uses before the loans of the
+// earlier holder have lapsed: most of those were spent or died with their
+// borrower, and the slack covers the rest.
+constexpr double kEarlyPartOfShare = 0.25;
 
 TeamSpec SpecOf(const ServingTeam& team, std::int64_t quota_slack) {
   const double slack = team.unit == QuotaUnit::kTokens
@@ -36,7 +40,8 @@
   if (m_quota)
     return;
   m_quota.emplace(
-      ProcessId{.vm = m_options.vm, .incarnation = event.incarnation});
+      ProcessId{.vm = m_options.vm, .incarnation = event.incarnation},
+      kEarlyPartOfShare);
   Emit(KeepRecord{.record = {.vm = m_options.vm,
                              .data_centre = m_options.data_centre,
                              .endpoint = m_options.endpoint,
@@ -94,8 +99,11 @@
 }
 
 void ServingFleet::Take(TimePoint now, const SharePageWritten& event) {
-  if (m_quota)
-    m_quota->PageWritten(now, event.outcome, event.revision);
+  if (!m_quota)
+    return;
+  m_quota->PageWritten(now, event.outcome, event.revision);
+  if (event.outcome == WriteOutcome::kWritten)
+    m_next_plan = now;
 }
 
 void ServingFleet::Take(TimePoint now,
--- a/source/unit_tests/core/serving/serving_fleet_test.cc
+++ b/source/unit_tests/core/serving/serving_fleet_test.cc
@@ -72,11 +72,14 @@
 
  private:
   static std::map<std::string, ServingTeam> Teams() {
-    return {{"team",
-             {.name = "team",
-              .unit = QuotaUnit::kTokens,
-              .rate_per_second = kRate,
-              .burst = kBurst}}};
+    std::map<std::string, ServingTeam> teams;
+    // others' pages are written, too
+    for (const char* name : {"team", "t1", "t2", "t3", "t4", "t5"})
+      teams[name] = {.name = name,
+                     .unit = QuotaUnit::kTokens,
+                     .rate_per_second = kRate,
+                     .burst = kBurst};
+    return teams;
   }
 
   void Carry(const std::string& vm, std::vector<FleetEffect> effects) {
@@ -153,6 +156,19 @@
   EXPECT_LE(admitted, Bench::kBurst + Bench::kRate * kSeconds);
 }
 
+// All routers are killed at once: their loans died with them, and callers wait.
+TEST(ServingFleet, ServesWithinASecondAfterAllRoutersRestarted) {
+  Bench bench({"r1", "r2", "r3", "r4", "r5"});
+  bench.Pass(seconds(5));
+  bench.AdmitFor(seconds(10), 100);
+  for (const char* vm : {"r1", "r2", "r3", "r4", "r5"})
+    bench.StartRouter(vm);
+  bench.AdmitFor(seconds(1), 100);
+  const std::int64_t admitted = bench.AdmitFor(seconds(1), 100);
+  EXPECT_GE(admitted, Bench::kRate * 8 / 10);
+  EXPECT_LE(admitted, Bench::kBurst + Bench::kRate);
+}
+
 TEST(ServingFleet, ATeamWithoutLimitIsNeverRefused) {
   ServingFleet fleet({.vm = "r1"});
   fleet.Configure(kStart, {{"free", {.name = "free"}}});
