Keep adapters that are in use, and room for the model it was made for

The controllers' logs show why: (1) an unload made room for a model of 34 GB, the next small model that was asked for took the room, and the large one waited 5 s through six orders; (2) the adapter to give way was the one that was asked for longest ago, which is the one in use: it has not been asked for since because it is loaded; (3) an ask for an adapter went to workers whose engine had a model's order under way, and waited for it.

Change: the need for which a model was unloaded goes before other models until it has its room or nobody waits for it. Routers tell their demand for adapters as well as for models, and the one in least demand gives way. A queue of models counts in full for an adapter. Names of models that callers make up are forgotten after a minute.

--- a/source/core/engine/engine_controller.cc
+++ b/source/core/engine/engine_controller.cc
@@ -172,6 +172,7 @@
     Log(LogEvent::kEngineRestarted,
         {{"vm", m_vm}, {"born", std::to_string(report.contents.born)}});
     m_order.reset();
+    m_in_turn.clear();
     m_loaded_at.clear();
   }
   const bool changed = !m_report || restarted ||
@@ -249,37 +250,55 @@
                         !m_report->busy && !m_draining;
   if (!possible || m_needs.empty())
     return;
-  std::ranges::stable_sort(m_needs, GoesBefore);
+  SortNeeds();
   for (const Need& need : m_needs) {
-    std::optional<EngineOrder> order = OrderFor(now, need);
-    if (!order)
-      continue;
-    order->precondition = m_report->orders;
-    order->fence = *m_fence;
-    ++m_orders_sent;
-    Log(LogEvent::kOrderSent,
-        {{"operation", std::string(kOrderKindNames.Name(order->kind))},
-         {"weights", WeightsName(order->model, order->adapter)},
-         {"for", WeightsName(need.model, need.adapter)},
-         {"waited_ms",
-          std::to_string((now - need.first_asked).count() / 1'000)},
-         {"orders", std::to_string(order->precondition)},
-         {"used_mb", std::to_string(static_cast<std::int64_t>(UsedMb()))}});
-    m_order = OpenOrder{.order = *order, .sent = now};
-    m_next_read = now + kReadWhileBusy;
-    Emit(SendOrder{.order = *std::move(order)});
-    if (m_order->order.kind == OrderKind::kUnload)
-      Tell(now);
-    return;
+    if (auto order = OrderFor(now, need))
+      return Send(now, need, *std::move(order));
   }
 }
 
+void EngineController::SortNeeds() {
+  std::ranges::stable_sort(m_needs, GoesBefore);
+  const auto in_turn = std::ranges::find_if(m_needs, [this](const Need& need) {
+    return need.adapter.empty() && need.model == m_in_turn;
+  });
+  if (in_turn == m_needs.end() || in_turn->Waiting() == 0)
+    return;
+  const auto first_model = std::ranges::find_if(
+      m_needs, [](const Need& need) { return need.adapter.empty(); });
+  // why: room made for a large model must not go to the next small one
+  std::rotate(first_model, in_turn, std::next(in_turn));
+}
+
+void EngineController::Send(TimePoint now,
+                            const Need& need,
+                            EngineOrder order) {
+  order.precondition = m_report->orders;
+  order.fence = *m_fence;
+  ++m_orders_sent;
+  Log(LogEvent::kOrderSent,
+      {{"operation", std::string(kOrderKindNames.Name(order.kind))},
+       {"weights", WeightsName(order.model, order.adapter)},
+       {"for", WeightsName(need.model, need.adapter)},
+       {"waited_ms", std::to_string((now - need.first_asked).count() / 1'000)},
+       {"orders", std::to_string(order.precondition)},
+       {"used_mb", std::to_string(static_cast<std::int64_t>(UsedMb()))}});
+  const bool unloads = order.kind == OrderKind::kUnload;
+  if (order.adapter.empty())
+    m_in_turn = unloads ? need.model : "";
+  m_order = OpenOrder{.order = order, .sent = now};
+  m_next_read = now + kReadWhileBusy;
+  Emit(SendOrder{.order = std::move(order)});
+  if (unloads)
+    Tell(now);
+}
+
 std::optional<EngineOrder> EngineController::OrderFor(TimePoint now,
                                                       const Need& need) const {
   if (!m_spec->models.contains(need.model))
     return std::nullopt;
   return need.adapter.empty() ? OrderForModel(now, need)
-                              : OrderForAdapter(need);
+                              : OrderForAdapter(now, need);
 }
 
 std::optional<EngineOrder> EngineController::OrderForModel(
@@ -292,6 +311,7 @@
 }
 
 std::optional<EngineOrder> EngineController::OrderForAdapter(
+    TimePoint now,
     const Need& need) const {
   const LoadedModel* loaded = m_report->contents.Find(need.model);
   if (loaded == nullptr || m_report->coming.size() >= kMaxAdaptersComing)
@@ -303,7 +323,7 @@
   const bool fits = adapters < m_spec->adapter_slots &&
                     UsedMb() + adapter_mb <= m_spec->memory_mb;
   if (!fits)
-    return EvictAdapter(need);
+    return EvictAdapter(now, need);
   return EngineOrder{
       .kind = OrderKind::kLoad, .model = need.model, .adapter = need.adapter};
 }
@@ -348,23 +368,28 @@
 }
 
 std::optional<EngineOrder> EngineController::EvictAdapter(
+    TimePoint now,
     const Need& need) const {
-  std::optional<EngineOrder> oldest;
-  TimePoint oldest_asked = kNever;
+  std::optional<EngineOrder> victim;
+  std::pair<std::uint64_t, TimePoint> least;
   for (const LoadedModel& model : m_report->contents.models) {
     for (const std::string& adapter : model.adapters) {
+      const bool wanted = model.name == need.model && adapter == need.adapter;
+      if (wanted)
+        continue;
       const std::string name = WeightsName(model.name, adapter);
       const auto asked = m_adapter_asked.find(name);
-      const TimePoint at =
-          asked == m_adapter_asked.end() ? TimePoint{} : asked->second;
-      if (at >= oldest_asked || adapter == need.adapter)
+      const std::pair rank{ValueOf(now, name), asked == m_adapter_asked.end()
+                                                   ? TimePoint{}
+                                                   : asked->second};
+      if (victim && rank >= least)
         continue;
-      oldest_asked = at;
-      oldest = EngineOrder{
+      least = rank;
+      victim = EngineOrder{
           .kind = OrderKind::kUnload, .model = model.name, .adapter = adapter};
     }
   }
-  return oldest;
+  return victim;
 }
 
 double EngineController::UsedMb() const {
--- a/source/core/engine/engine_controller.h
+++ b/source/core/engine/engine_controller.h
@@ -164,12 +164,18 @@
   void CheckOrder(TimePoint now);
   // Sends the next order, if one is wanted and possible.
   void Proceed(TimePoint now);
+  // The order in which needs are looked at: adapters, then the model for which
+  // room is being made, then the others.
+  void SortNeeds();
+  void Send(TimePoint now, const Need& need, EngineOrder order);
   std::optional<EngineOrder> OrderFor(TimePoint now, const Need& need) const;
   std::optional<EngineOrder> OrderForModel(TimePoint now,
                                            const Need& need) const;
-  std::optional<EngineOrder> OrderForAdapter(const Need& need) const;
+  std::optional<EngineOrder> OrderForAdapter(TimePoint now,
+                                             const Need& need) const;
   std::optional<EngineOrder> EvictModel(TimePoint now, const Need& need) const;
-  std::optional<EngineOrder> EvictAdapter(const Need& need) const;
+  std::optional<EngineOrder> EvictAdapter(TimePoint now,
+                                          const Need& need) const;
   double UsedMb() const;
   std::uint64_t ValueOf(TimePoint now, const std::string& model) const;
   void Tell(TimePoint now);
@@ -190,10 +196,12 @@
   TimePoint m_next_read = TimePoint{};
   std::vector<Need> m_needs;
   std::optional<OpenOrder> m_order;
+  // The model for which the latest unload made room; empty when it has come.
+  std::string m_in_turn;
   // When each model was first seen loaded, and each adapter last asked for.
   std::map<std::string, TimePoint> m_loaded_at;
   std::map<std::string, TimePoint> m_adapter_asked;
-  // By model and router.
+  // By model or "model/adapter", and by router.
   std::map<std::string, std::map<std::string, Value>> m_values;
   // Routers that asked lately.
   std::map<std::string, TimePoint> m_listeners;
--- a/source/core/engine/engine_messages.h
+++ b/source/core/engine/engine_messages.h
@@ -12,8 +12,9 @@
 
 namespace boragepick {
 
-// What it is worth to an asker to keep a loaded model where it is.
+// What it is worth to an asker to keep a loaded model or adapter where it is.
 struct ModelValue {
+  // "model" or "model/adapter".
   std::string model;
   // Requests a second that would have to wait for a load, in thousandths.
   std::uint32_t milli_requests = 0;
@@ -28,7 +29,7 @@
   std::uint32_t waiting = 0;
   // Requests a second for the model at the asker, in thousandths.
   std::uint32_t milli_requests = 0;
-  // What the asker makes of the models that are loaded there.
+  // What the asker makes of the models and adapters that are loaded there.
   std::vector<ModelValue> values;
 };
 
--- a/source/core/serving/load_planner.cc
+++ b/source/core/serving/load_planner.cc
@@ -11,6 +11,8 @@
 
 // Demand is averaged over about so long.
 constexpr Duration kDemandMemory = std::chrono::seconds(6);
+// Then nothing of it is left.
+constexpr Duration kDemandForgotten = kDemandMemory * 10;
 // An ask may be lost: it is repeated after so long.
 constexpr Duration kAskAgain = std::chrono::milliseconds(600);
 // A controller that has said nothing for so long after an ask is passed over,
@@ -99,16 +101,24 @@
   return adapter.empty() ? model : model + "/" + adapter;
 }
 
-void LoadPlanner::RecordRequest(TimePoint now, const std::string& model) {
-  Seen& seen = m_seen[model];
+void LoadPlanner::RecordRequest(TimePoint now,
+                                const std::string& model,
+                                const std::string& adapter) {
+  Count(now, model);
+  if (!adapter.empty())
+    Count(now, WeightsName(model, adapter));
+}
+
+void LoadPlanner::Count(TimePoint now, const std::string& weights) {
+  Seen& seen = m_seen[weights];
   seen.count = seen.count * std::exp(-ToSeconds(now - seen.at) /
                                      ToSeconds(kDemandMemory)) +
                1;
   seen.at = now;
 }
 
-double LoadPlanner::Demand(TimePoint now, const std::string& model) const {
-  const auto found = m_seen.find(model);
+double LoadPlanner::Demand(TimePoint now, const std::string& weights) const {
+  const auto found = m_seen.find(weights);
   if (found == m_seen.end())
     return 0;
   const double left =
@@ -139,9 +149,7 @@
     const auto spec = engine.models.find(loaded.name);
     const double memory_mb =
         spec == engine.models.end() ? 0 : spec->second.memory_mb;
-    const auto holders = static_cast<double>(
-        std::max<std::size_t>(1, HoldersOf(workers, loaded.name)));
-    victims.push_back({.loss = Demand(now, loaded.name) / holders / holders,
+    victims.push_back({.loss = ValueOfCopy(now, workers, loaded.name),
                        .memory_mb = memory_mb});
   }
   std::ranges::sort(victims, {}, &Victim::loss);
@@ -167,8 +175,8 @@
       kCostOfQueuedLoad * static_cast<int>(std::max(worker.queued_loads,
                                                     WishesAt(worker.entry.id)));
   if (for_adapter) {
-    cost =
-        cost / 8 + kAdapterLoad + std::chrono::milliseconds(2) * worker.running;
+    // why: an engine that loads or unloads a model takes no other order
+    cost += kAdapterLoad + std::chrono::milliseconds(2) * worker.running;
   } else {
     cost += LoadTime(spec->second, worker.contents) +
             EvictionCost(now, engine, workers, worker, spec->second.memory_mb);
@@ -180,16 +188,28 @@
                     static_cast<int>(spread) / 1'000;
 }
 
+double LoadPlanner::ValueOfCopy(TimePoint now,
+                                std::span<Worker* const> workers,
+                                const std::string& model) const {
+  const double demand = Demand(now, model);
+  const auto holders =
+      static_cast<double>(std::max<std::size_t>(1, HoldersOf(workers, model)));
+  return demand / holders / holders;
+}
+
 std::vector<ModelValue> LoadPlanner::ValuesOf(TimePoint now,
                                               std::span<Worker* const> workers,
                                               const Worker& worker) const {
   std::vector<ModelValue> values;
   for (const LoadedModel& loaded : worker.contents.models) {
-    const auto holders = static_cast<double>(
-        std::max<std::size_t>(1, HoldersOf(workers, loaded.name)));
-    const double value = Demand(now, loaded.name) / holders / holders;
-    values.push_back(
-        {.model = loaded.name, .milli_requests = Thousandths(value)});
+    values.push_back({.model = loaded.name,
+                      .milli_requests =
+                          Thousandths(ValueOfCopy(now, workers, loaded.name))});
+    for (const std::string& adapter : loaded.adapters) {
+      const std::string name = WeightsName(loaded.name, adapter);
+      values.push_back(
+          {.model = name, .milli_requests = Thousandths(Demand(now, name))});
+    }
   }
   return values;
 }
@@ -201,6 +221,10 @@
   std::erase_if(m_wishes, [now](const auto& wish) {
     return now - wish.second.asked > kWishLife;
   });
+  // why: callers name models as they like
+  std::erase_if(m_seen, [now](const auto& seen) {
+    return now - seen.second.at > kDemandForgotten;
+  });
 }
 
 bool LoadPlanner::StaysWith(TimePoint now,
--- a/source/core/serving/load_planner.h
+++ b/source/core/serving/load_planner.h
@@ -36,9 +36,11 @@
 
 class LoadPlanner {
  public:
-  // A request for the model has come: its demand is part of what a loaded
-  // model is worth.
-  void RecordRequest(TimePoint now, const std::string& model);
+  // A request for the weights has come: their demand is part of what they are
+  // worth where they are loaded.
+  void RecordRequest(TimePoint now,
+                     const std::string& model,
+                     const std::string& adapter);
 
   // Whom to ask now, if anybody: an ask that is under way is only repeated
   // after a while, and goes to another worker when the first stays silent.
@@ -62,8 +64,9 @@
   // The weights have come, or nobody waits for them any more.
   void Settle(const std::string& model, const std::string& adapter);
 
-  // Requests a second for the model that this router has seen lately.
-  double Demand(TimePoint now, const std::string& model) const;
+  // Requests a second for "model" or "model/adapter" that this router has seen
+  // lately.
+  double Demand(TimePoint now, const std::string& weights) const;
 
  private:
   struct Wish {
@@ -79,6 +82,8 @@
     TimePoint at;
   };
 
+  void Count(TimePoint now, const std::string& weights);
+
   Duration Cost(TimePoint now,
                 const EngineSpec& engine,
                 std::span<Worker* const> workers,
@@ -89,6 +94,10 @@
                         std::span<Worker* const> workers,
                         const Worker& worker,
                         double needed_mb) const;
+  // Requests a second that would miss one copy of a loaded model.
+  double ValueOfCopy(TimePoint now,
+                     std::span<Worker* const> workers,
+                     const std::string& model) const;
   std::vector<ModelValue> ValuesOf(TimePoint now,
                                    std::span<Worker* const> workers,
                                    const Worker& worker) const;
--- a/source/unit_tests/core/engine/engine_controller_test.cc
+++ b/source/unit_tests/core/engine/engine_controller_test.cc
@@ -28,6 +28,7 @@
   for (const char* name : {"m1", "m2", "m3", "m4", "m5"})
     spec.models[name] = {.name = name, .memory_mb = 40, .adapter_mb = 1};
   spec.models["m5"].memory_mb = 60;
+  spec.models["m6"] = {.name = "m6", .memory_mb = 90, .adapter_mb = 1};
   return spec;
 }
 
@@ -39,7 +40,7 @@
 
   // Whether the answer reaches the sender.
   std::optional<OrderOutcome> Order(TimePoint now, const EngineOrder& order) {
-    const std::uint64_t luck = m_random.Below(10);
+    const std::uint64_t luck = m_reliable ? 9 : m_random.Below(10);
     if (luck == 0) {
       // carried out later, if its precondition still holds
       m_late.push_back({now + milliseconds(m_random.Below(5'000)), order});
@@ -79,10 +80,18 @@
     m_models.clear();
   }
 
+  // From now on no order is lost or late.
+  void BeReliable() { m_reliable = true; }
+
   bool overcommitted() const { return m_overcommitted; }
   bool Holds(const std::string& model) const {
     return m_models.contains(model);
   }
+  bool Holds(const std::string& model, const std::string& adapter) const {
+    const auto found = m_models.find(model);
+    return found != m_models.end() &&
+           std::ranges::find(found->second, adapter) != found->second.end();
+  }
 
  private:
   OrderOutcome Accept(TimePoint now, const EngineOrder& order) {
@@ -124,6 +133,7 @@
   std::deque<std::pair<TimePoint, EngineOrder>> m_late;
   std::map<std::string, std::vector<std::string>> m_models;
   bool m_overcommitted = false;
+  bool m_reliable = false;
 };
 
 // Controller and engine in virtual time.
@@ -146,11 +156,12 @@
 
   void Ask(const std::string& model,
            const std::string& adapter = "",
-           std::vector<ModelValue> values = {}) {
+           std::vector<ModelValue> values = {},
+           std::uint32_t waiting = 1) {
     Feed(PeerReceived{.from = {.vm = "r", .endpoint = "10.0.0.1:7"},
                       .message = LoadAsk{.model = model,
                                          .adapter = adapter,
-                                         .waiting = 1,
+                                         .waiting = waiting,
                                          .values = std::move(values)}});
   }
 
@@ -220,6 +231,44 @@
   EXPECT_FALSE(bench.engine().Holds("m2"));
 }
 
+// Two models give way to a large one. Meanwhile a small one is asked for by
+// more requests: it waits its turn instead of taking the room that was made.
+TEST(EngineController, RoomMadeForALargeModelStaysItsOwn) {
+  Bench bench(3);
+  ASSERT_TRUE(bench.Wait("m1", seconds(20)));
+  ASSERT_TRUE(bench.Wait("m2", seconds(20)));
+  bench.Pass(seconds(2));
+  bench.engine().BeReliable();
+  bench.Ask("m6");
+  for (int i = 0; i < 8 && !bench.engine().Holds("m6"); ++i) {
+    bench.Pass(milliseconds(500));
+    bench.Ask("m6");
+    bench.Ask("m3", "", {}, /*waiting=*/3);
+  }
+  EXPECT_TRUE(bench.engine().Holds("m6"));
+}
+
+// The adapter that was asked for first is the one in use: it was loaded long
+// ago and has not been asked for since.
+TEST(EngineController, AnAdapterInUseStays) {
+  Bench bench(3);
+  bench.engine().BeReliable();
+  ASSERT_TRUE(bench.Wait("m1", seconds(20)));
+  for (const char* adapter : {"a1", "a2", "a3"}) {
+    bench.Ask("m1", adapter);
+    bench.Pass(milliseconds(500));
+  }
+  ASSERT_TRUE(bench.engine().Holds("m1", "a3"));
+  bench.Ask("m1", "a4",
+            {{.model = "m1/a1", .milli_requests = 2'000},
+             {.model = "m1/a2", .milli_requests = 10},
+             {.model = "m1/a3", .milli_requests = 500}});
+  bench.Pass(seconds(1));
+  EXPECT_TRUE(bench.engine().Holds("m1", "a4"));
+  EXPECT_TRUE(bench.engine().Holds("m1", "a1"));
+  EXPECT_FALSE(bench.engine().Holds("m1", "a2"));
+}
+
 TEST(EngineController, ARestartedEngineIsFilledAnew) {
   Bench bench(3);
   ASSERT_TRUE(bench.Wait("m1", seconds(20)));
--- a/source/unit_tests/core/serving/serving_parts_test.cc
+++ b/source/unit_tests/core/serving/serving_parts_test.cc
@@ -154,7 +154,7 @@
   m_workers[0]->contents.models = {{.name = "m1"}};
   LoadPlanner planner;
   for (int i = 0; i < 100; ++i)
-    planner.RecordRequest(kNow, "m2");
+    planner.RecordRequest(kNow, "m2", "");
   const auto planned = Plan(planner, kNow, "m3");
   EXPECT_EQ(planned->worker, "w1");
 }
