Refuse a request that breaks worker after worker

Cause: a request that crashes the workers that run it came back at any gateway and was sent on each time; the product's book of such requests was not used on the direct path.

Ruled out: refusing after two broken workers, as for agents, which know a crash from a broken connection; here links that fail look the same, so it takes three, and any whole run of the same request clears it.

Change: CrashSuspects keeps fingerprints of team, target and body; notices go to all routers. Refused with 502, breaks_workers.

--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -50,7 +50,7 @@
        "The caller has the whole answer."},
       {LogEvent::kFingerprintConvicted, kWarning, kRouting,
        "fingerprint_convicted",
-       "A request crashed two upstreams and is refused from now on."},
+       "A request crashed upstreams repeatedly and is refused from now on."},
       {LogEvent::kRequestHeld, kInfo, kRouting, "request_held",
        "A request waits until a worker has its model, or until one is usable."},
       {LogEvent::kRequestResumed, kWarning, kRouting, "request_resumed",
--- a/source/core/routing/poison_book.cc
+++ b/source/core/routing/poison_book.cc
@@ -9,7 +9,7 @@
   const auto found = m_entries.find(fingerprint);
   if (found == m_entries.end())
     return PoisonVerdict::kClean;
-  const bool convicted = found->second.crashes.size() >= kCrashesToConvict;
+  const bool convicted = found->second.crashes.size() >= m_crashes_to_convict;
   return convicted ? PoisonVerdict::kConvicted : PoisonVerdict::kSuspect;
 }
 
@@ -18,7 +18,7 @@
     const auto found = m_entries.find(notice.fingerprint);
     // why: a late all-clear doesn't undo a conviction
     const bool suspect = found != m_entries.end() &&
-                         found->second.crashes.size() < kCrashesToConvict;
+                         found->second.crashes.size() < m_crashes_to_convict;
     if (suspect)
       m_entries.erase(found);
     return suspect;
--- a/source/core/routing/poison_book.h
+++ b/source/core/routing/poison_book.h
@@ -1,6 +1,7 @@
 // Requests that crash their upstreams, by fingerprint. A request that was
 // running when an upstream crashed is a suspect and runs again only alone; one
-// that crashed a second upstream is convicted and refused. Innocents of the
+// that crashed a second upstream, or the number that the book was given, is
+// convicted and refused. Innocents of the
 // same batch clear themselves by running whole.
 #pragma once
 
@@ -38,9 +39,11 @@
 
 class PoisonBook {
  public:
-  static constexpr std::size_t kCrashesToConvict = 2;
   static constexpr Duration kSuspicionLife = std::chrono::minutes(10);
 
+  explicit PoisonBook(std::size_t crashes_to_convict = 2)
+      : m_crashes_to_convict(crashes_to_convict) {}
+
   PoisonVerdict Judge(TimePoint now, Fingerprint fingerprint);
 
   // Returns whether the notice told something new.
@@ -56,6 +59,7 @@
 
   void Forget(TimePoint now);
 
+  std::size_t m_crashes_to_convict;
   std::map<Fingerprint, Entry> m_entries;
 };
 
--- /dev/null
+++ b/source/core/serving/crash_suspects.cc
@@ -0,0 +1,48 @@
+#include "core/serving/crash_suspects.h"
+
+#include "common/hashing.h"
+
+namespace boragepick {
+
+namespace {
+
+// The same request at another time has another id: team, target and body tell.
+Fingerprint FingerprintOf(const Exchange& exchange) {
+  const ServingRequest& request = *exchange.request;
+  return StableHash(request.body,
+                    StableHash(request.target, StableHash(exchange.team)));
+}
+
+}  // namespace
+
+std::optional<CrashNotice> CrashSuspects::RunBroke(TimePoint now,
+                                                   const Exchange& exchange,
+                                                   const std::string& worker,
+                                                   std::int64_t born) {
+  CrashNotice notice{.fingerprint = FingerprintOf(exchange),
+                     .crash = worker + "/" + std::to_string(born)};
+  if (!m_book.Take(now, notice))
+    return std::nullopt;
+  return notice;
+}
+
+std::optional<CrashNotice> CrashSuspects::RanWhole(TimePoint now,
+                                                   const Exchange& exchange) {
+  if (m_book.Size() == 0)
+    return std::nullopt;
+  CrashNotice notice{.fingerprint = FingerprintOf(exchange), .cleared = true};
+  if (!m_book.Take(now, notice))
+    return std::nullopt;
+  return notice;
+}
+
+void CrashSuspects::Take(TimePoint now, const CrashNotice& notice) {
+  m_book.Take(now, notice);
+}
+
+bool CrashSuspects::IsRefused(TimePoint now, const Exchange& exchange) {
+  return m_book.Size() > 0 && m_book.Judge(now, FingerprintOf(exchange)) ==
+                                  PoisonVerdict::kConvicted;
+}
+
+}  // namespace boragepick
--- a/source/core/serving/exchange.cc
+++ b/source/core/serving/exchange.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<ServingRefusalRow, 13> kRefusals{{
+constexpr std::array<ServingRefusalRow, 14> kRefusals{{
     {ServingRefusal::kNoConfiguration, "no_configuration", 503},
     {ServingRefusal::kRouteUnknown, "route_unknown", 404},
     {ServingRefusal::kKeyMissing, "key_missing", 401},
@@ -20,6 +20,7 @@
     {ServingRefusal::kTimedOutBeforeRun, "timed_out_before_run", 503},
     {ServingRefusal::kTimedOut, "timed_out", 504},
     {ServingRefusal::kWorkerFailed, "worker_failed", 502},
+    {ServingRefusal::kBreaksWorkers, "breaks_workers", 502},
     {ServingRefusal::kStopping, "stopping", 503},
 }};
 
--- a/source/core/serving/exchange.h
+++ b/source/core/serving/exchange.h
@@ -42,6 +42,7 @@
   kTimedOutBeforeRun,
   kTimedOut,
   kWorkerFailed,
+  kBreaksWorkers,
   kStopping,
 };
 
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -68,6 +68,11 @@
   if (!exchange.route->open_to_all && !m_state.KeysCurrent(now) &&
       !exchange.committed)
     return Refuse(now, exchange, ServingRefusal::kKeysStale);
+  if (m_suspects.IsRefused(now, exchange)) {
+    if (exchange.committed)
+      return Abort(now, exchange, "breaks workers");
+    return Refuse(now, exchange, ServingRefusal::kBreaksWorkers);
+  }
   const ServingService* service = m_state.config->FindService(exchange.service);
   std::vector<Worker*> workers = UsableWorkers(now, exchange.service);
   if (service == nullptr || workers.empty())
@@ -408,8 +413,30 @@
   AnswerFrom(now, *exchange);
 }
 
+void RequestTable::SuspectCrash(TimePoint now, const Exchange& exchange) {
+  const Worker* worker = m_state.workers.Find(exchange.attempt->worker);
+  if (worker == nullptr)
+    return;
+  const auto notice = m_suspects.RunBroke(now, exchange, worker->entry.id,
+                                          worker->entry.contents.born);
+  if (!notice)
+    return;
+  if (m_suspects.IsRefused(now, exchange))
+    m_state.Log(LogEvent::kFingerprintConvicted,
+                {{"request", exchange.request->trace_id},
+                 {"team", exchange.team},
+                 {"crash", notice->crash}});
+  m_state.fleet.Broadcast(*notice);
+}
+
+void RequestTable::TakeCrash(TimePoint now, const CrashNotice& notice) {
+  m_suspects.Take(now, notice);
+}
+
 void RequestTable::AnswerFrom(TimePoint now, Exchange& exchange) {
   ++m_metrics.answered;
+  if (const auto cleared = m_suspects.RanWhole(now, exchange))
+    m_state.fleet.Broadcast(*cleared);
   Attempt& attempt = *exchange.attempt;
   Worker* worker = m_state.workers.Find(attempt.worker);
   const bool plain = exchange.weights.empty();
@@ -441,6 +468,8 @@
   if (exchange == nullptr)
     return;
   const std::string why(kAttemptFailureNames.Name(failure));
+  if (failure == AttemptFailure::kReset)
+    SuspectCrash(now, *exchange);
   if (failure != AttemptFailure::kNotSent)
     return AttemptFailed(now, *exchange, why);
   Worker* worker = m_state.workers.Find(exchange->attempt->worker);
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -85,7 +85,8 @@
                      exchange.request->patience.value_or(Duration::max() / 4));
   BudgetFor(exchange.service).FirstRequest();
   if (!exchange.request->model.empty())
-    m_loads.RecordRequest(now, exchange.request->model);
+    m_loads.RecordRequest(now, exchange.request->model,
+                          exchange.request->adapter);
   CheckAt(exchange, exchange.deadline);
   WaitForTokens(now, exchange);
 }
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "core/routing/retry_budget.h"
+#include "core/serving/crash_suspects.h"
 #include "core/serving/exchange.h"
 #include "core/serving/load_planner.h"
 #include "core/serving/serving_state.h"
@@ -50,6 +51,9 @@
   // The worker has left: nothing new goes there, what runs there goes on.
   void Tick(TimePoint now);
 
+  // Another router tells of a request that breaks workers.
+  void TakeCrash(TimePoint now, const CrashNotice& notice);
+
   // The process ends: answers what is open as truly as can be.
   void EndAll(TimePoint now);
   // The number of routers that share the fleet's limits has changed.
@@ -108,6 +112,7 @@
                           const UpstreamHead& head);
   void NotExecuted(TimePoint now, Exchange& exchange);
   void AttemptFailed(TimePoint now, Exchange& exchange, const std::string& why);
+  void SuspectCrash(TimePoint now, const Exchange& exchange);
   void MarkProgress(TimePoint now, Exchange& exchange);
   bool MayRetry(TimePoint now, const Exchange& exchange, bool has_run) const;
   void Retry(TimePoint now, Exchange& exchange, const std::string& why);
@@ -130,6 +135,7 @@
   ServingState& m_state;
   LeastExpectedDelay m_policy;
   LoadPlanner m_loads;
+  CrashSuspects m_suspects;
   // By service.
   std::map<std::string, RetryBudget> m_budgets;
   ServingMetrics m_metrics;
--- a/source/core/serving/serving_fleet.cc
+++ b/source/core/serving/serving_fleet.cc
@@ -211,6 +211,13 @@
   Emit(WriteSharePage{.page = *std::move(page)});
 }
 
+void ServingFleet::Broadcast(const PeerMessage& message) {
+  for (const auto& [vm, record] : m_records) {
+    if (vm != m_options.vm)
+      SendToVm(vm, message);
+  }
+}
+
 void ServingFleet::SendToVm(const std::string& vm, PeerMessage message) {
   const auto record = m_records.find(vm);
   if (record != m_records.end())
--- a/source/core/serving/serving_fleet.h
+++ b/source/core/serving/serving_fleet.h
@@ -102,6 +102,9 @@
   void SetWaiting(const std::string& team, Tokens first, Tokens all);
   bool IsLimited(const std::string& team) const;
 
+  // Tells all other routers.
+  void Broadcast(const PeerMessage& message);
+
   // Routers that share the fleet's limits; 0 while they are not known.
   std::size_t RouterCount() const { return m_roster.LiveRouters().size(); }
   std::vector<FleetEffect> TakeEffects() {
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -157,6 +157,8 @@
     return m_state.fleet.Take(now, event.from.vm, *ask);
   if (const auto* loan = std::get_if<QuotaLoan>(&event.message))
     return m_state.fleet.Take(now, event.from.vm, *loan);
+  if (const auto* notice = std::get_if<CrashNotice>(&event.message))
+    return m_requests.TakeCrash(now, *notice);
   const auto* news = std::get_if<EngineNews>(&event.message);
   if (news == nullptr)
     return;
--- a/source/unit_tests/core/serving/serving_router_test.cc
+++ b/source/unit_tests/core/serving/serving_router_test.cc
@@ -327,6 +327,69 @@
   EXPECT_EQ(fixture.Take<ServingDrained>().size(), 1U);
 }
 
+// Breaks the worker of the latest sending; it comes back as another run.
+void BreakWorker(ServingFixture& fixture, std::int64_t next_born) {
+  const SendAttempt sent = fixture.Take<SendAttempt>().back();
+  fixture.Feed(AttemptBroken{.attempt = sent.attempt});
+  WorkerEntry again = EngineWorker(sent.worker, {"m1"});
+  again.contents.born = next_born;
+  fixture.Feed(WorkerListed{.entry = again});
+}
+
+TEST(ServingRouter, ARequestThatBreaksWorkerAfterWorkerIsRefused) {
+  ServingFixture fixture;
+  fixture.Begin();
+  fixture.Arrive("/review/poison", "m1");
+  BreakWorker(fixture, 2);
+  fixture.Arrive("/review/poison", "m1");
+  BreakWorker(fixture, 3);
+  EXPECT_EQ(fixture.Take<AnswerRefused>().back().code, "worker_failed");
+  fixture.Arrive("/review/poison", "m1");
+  BreakWorker(fixture, 4);
+  fixture.effects.clear();
+  fixture.Arrive("/review/poison", "m1");
+  EXPECT_TRUE(fixture.Take<SendAttempt>().empty());
+  EXPECT_EQ(fixture.Take<AnswerRefused>().back().code, "breaks_workers");
+  // another request is none of it
+  fixture.Arrive("/review/other", "m1");
+  EXPECT_FALSE(fixture.Take<SendAttempt>().empty());
+}
+
+TEST(ServingRouter, ARequestThatRanWholeIsNotWhatBrokeTheWorkers) {
+  ServingFixture fixture;
+  fixture.Begin();
+  for (std::int64_t born = 2; born < 8; ++born) {
+    fixture.Arrive("/review/x", "m1");
+    BreakWorker(fixture, born);
+    fixture.Pass(seconds(1));
+    fixture.effects.clear();
+    fixture.Arrive("/review/x", "m1");
+    const AttemptNumber attempt = fixture.Take<SendAttempt>().back().attempt;
+    fixture.Answer(attempt);
+    fixture.Event(attempt, 1);
+    fixture.Feed(AttemptEnded{.attempt = attempt});
+  }
+  EXPECT_TRUE(fixture.Take<AnswerRefused>().empty());
+}
+
+TEST(ServingRouter, AnotherRouterTellsOfARequestThatBreaksWorkers) {
+  ServingFixture one;
+  ServingFixture other;
+  one.Begin();
+  other.Begin();
+  one.Feed(RouterSeen{.record = {.vm = "r2", .endpoint = "10.1.0.2:7"}});
+  for (std::int64_t born = 2; born < 5; ++born) {
+    one.Arrive("/review/poison", "m1");
+    BreakWorker(one, born);
+  }
+  for (const SendToEndpoint& sent : one.Take<SendToEndpoint>()) {
+    if (std::holds_alternative<CrashNotice>(sent.message))
+      other.Feed(PeerReceived{.from = {.vm = "r1"}, .message = sent.message});
+  }
+  other.Arrive("/review/poison", "m1");
+  EXPECT_EQ(other.Take<AnswerRefused>().back().code, "breaks_workers");
+}
+
 TEST(ServingRouter, RetriesStayWithinTheBudget) {
   ServingFixture fixture({.vm = "r1",
                           .data_centre = "a",
