Explain a request from the logs of all processes

Cause: the way from a request's id to its cause went over grep in several logs; the controllers' lines, which tell why a load took long, bear no request id, and were found by hand.

Ruled out: writing the id into controllers' lines. One load serves many requests of many routers.

Change: core/explain reads log lines back and picks those of the request and those that explain them: orders for its weights while it was open, its workers, and the configuration, keys and store as its gateway knew them when it came. 'boragepick explain ID FILE...' prints them and names lines that can't be read.

--- a/source/tools/cli/cli_main.cc
+++ b/source/tools/cli/cli_main.cc
@@ -19,6 +19,7 @@
 #include "common/hashing.h"
 #include "core/config/config_view.h"
 #include "core/config/resources.h"
+#include "core/explain/request_story.h"
 #include "frontends/operator_codec.h"
 #include "tools/cli/client.h"
 #include "tools/cli/documents.h"
@@ -51,6 +52,8 @@
   status                  what is accepted, in force, permitted and loaded
   top                     load, queues and teams, live, until stopped
   request PATH            send a request as a caller (-d BODY, --key KEY)
+  explain ID FILE...      tell what became of a request from the logs of all
+                          processes ('-' reads standard input)
   hash-key                read a key from standard input, print its SHA-256
 
 Kinds: model, version, adapter, route, team, key
@@ -99,6 +102,8 @@
       return Top();
     if (command == "request")
       return SendRequest();
+    if (command == "explain")
+      return Explain();
     if (command == "hash-key")
       return HashKey();
     std::cerr << "boragepick: unknown command '" << command
@@ -340,6 +345,24 @@
     return status < 400 ? kExitOk : kExitRefused;
   }
 
+  int Explain() {
+    if (m_arguments.operands.size() < 2) {
+      std::cerr << "boragepick: explain: expected ID FILE...\n";
+      return kExitUsage;
+    }
+    RequestStory story(m_arguments.operands[0]);
+    for (std::size_t i = 1; i < m_arguments.operands.size(); ++i)
+      story.AddLog(m_arguments.operands[i], ReadAll(m_arguments.operands[i]));
+    for (const std::string& place : story.unread())
+      std::cerr << "boragepick: " << place << ": not a line of a log\n";
+    std::cout << story.Text();
+    if (story.Found())
+      return kExitOk;
+    std::cerr << "boragepick: no line names request '"
+              << m_arguments.operands[0] << "'\n";
+    return kExitRefused;
+  }
+
   static int HashKey() {
     std::string key;
     std::getline(std::cin, key);
