Latency histograms in the metrics, and a log line at reload

Cause: metrics had counters only, and SIGHUP was taken without a word.

Ruled out: Boost.Accumulators for the histograms.

Change: four histograms at the gateways (first byte, whole answer, wait for quota, hold). At SIGHUP the settings file is read again; log.decisions is taken over, the rest is named as needing a restart, and a file with faults changes nothing.

--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -39,6 +39,11 @@
       {LogEvent::kLogDropped, kWarning, kDaemon, "log_dropped",
        "The log's output took nothing for a while; so many records were "
        "dropped."},
+      {LogEvent::kReloaded, kInfo, kDaemon, "reloaded",
+       "The settings file was read again; fields tell which changes are in "
+       "force now and which need a restart."},
+      {LogEvent::kReloadRejected, kWarning, kDaemon, "reload_rejected",
+       "The settings file has faults; the settings in force stay."},
       {LogEvent::kRequestRefused, kInfo, kRouting, "request_refused",
        "A request was refused; code and ran tell why and whether it ran."},
       {LogEvent::kRequestRouted, kInfo, kRouting, "request_routed",
--- a/source/common/log_event.h
+++ b/source/common/log_event.h
@@ -46,6 +46,8 @@
   kDraining = 101,
   kStopped = 102,
   kLogDropped = 103,
+  kReloaded = 104,
+  kReloadRejected = 105,
   kRequestRefused = 200,
   kRequestRouted = 201,
   kRequestRetried = 202,
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -250,6 +250,8 @@
   worker.prompts.Remember(exchange.weights, request.prompt);
   ++exchange.sends;
   exchange.stage = ExchangeStage::kRunning;
+  if (m_held.contains(request.id))
+    m_metrics.hold.Add(now - exchange.held_since);
   Unhold(exchange);
   m_attempts.emplace(attempt.number, request.id);
   m_state.Log(LogEvent::kRequestRouted,
@@ -353,6 +355,7 @@
   if (attempt.buffered.size() <= kMaxBuffered)
     return;
   exchange->committed = true;
+  m_metrics.first_byte.Add(now - exchange->arrived);
   m_state.Emit(
       AnswerStarted{.id = exchange->request->id, .head = *attempt.head});
   m_state.Emit(AnswerBytes{.id = exchange->request->id,
@@ -392,6 +395,7 @@
     }
     if (!exchange.committed) {
       exchange.committed = true;
+      m_metrics.first_byte.Add(now - exchange.arrived);
       m_state.Emit(
           AnswerStarted{.id = exchange.request->id, .head = *attempt.head});
     }
@@ -435,6 +439,7 @@
 
 void RequestTable::AnswerFrom(TimePoint now, Exchange& exchange) {
   ++m_metrics.answered;
+  m_metrics.whole_answer.Add(now - exchange.arrived);
   if (const auto cleared = m_suspects.RanWhole(now, exchange))
     m_state.fleet.Broadcast(*cleared);
   Attempt& attempt = *exchange.attempt;
@@ -454,6 +459,7 @@
   if (exchange.committed) {
     m_state.Emit(AnswerEnded{.id = exchange.request->id});
   } else {
+    m_metrics.first_byte.Add(now - exchange.arrived);
     m_state.Emit(AnswerWhole{.id = exchange.request->id,
                              .head = std::move(*attempt.head),
                              .body = std::move(attempt.buffered)});
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -155,6 +155,7 @@
 }
 
 void RequestTable::Admitted(TimePoint now, Exchange& exchange) {
+  m_metrics.quota_wait.Add(now - exchange.arrived);
   exchange.stage = ExchangeStage::kHeld;
   Dispatch(now, exchange);
 }
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "common/latency_histogram.h"
 #include "core/routing/retry_budget.h"
 #include "core/serving/crash_suspects.h"
 #include "core/serving/exchange.h"
@@ -30,6 +31,13 @@
   std::uint64_t resumed = 0;
   std::uint64_t cancelled = 0;
   std::uint64_t aborted = 0;
+  // From arrival until the answer begins, and until it is whole.
+  LatencyHistogram first_byte;
+  LatencyHistogram whole_answer;
+  // From arrival until a team's tokens were there.
+  LatencyHistogram quota_wait;
+  // The time that held requests waited for a worker with their model.
+  LatencyHistogram hold;
 };
 
 class RequestTable {
--- a/source/frontends/log_task.h
+++ b/source/frontends/log_task.h
@@ -25,6 +25,9 @@
   // are dropped, and their number is written when it does again.
   void Post(LogRecord record);
 
+  // Whether lines of single requests are written.
+  void SetDecisions(bool decisions) { m_decisions = decisions; }
+
   static constexpr std::size_t kMaxWaiting = 10'000;
   std::uint64_t dropped() const { return m_dropped; }
 
@@ -32,7 +35,7 @@
   void Run();
   void WriteDropped();
 
-  bool m_decisions;
+  std::atomic<bool> m_decisions;
   std::atomic<std::size_t> m_waiting = 0;
   std::atomic<std::uint64_t> m_dropped = 0;
   std::uint64_t m_dropped_written = 0;
--- a/source/frontends/serving/serving_metrics.cc
+++ b/source/frontends/serving/serving_metrics.cc
@@ -15,6 +15,15 @@
     m_text += std::to_string(value);
     m_text += '\n';
   }
+  void Add(std::string_view name, const LatencyHistogram& histogram) {
+    const std::string bucket = std::string(name) + "_bucket";
+    histogram.ForEachBound([&](double bound, std::uint64_t count) {
+      Add(bucket, count, "{le=\"" + std::to_string(bound) + "\"}");
+    });
+    Add(bucket, histogram.Count(), "{le=\"+Inf\"}");
+    Add(std::string(name) + "_sum", histogram.SumSeconds());
+    Add(std::string(name) + "_count", histogram.Count());
+  }
   std::string Take() { return std::move(m_text); }
 
  private:
@@ -41,6 +50,10 @@
         "refused_total", count,
         "{code=\"" + std::string(ServingRefusalInfo(refusal).name) + "\"}");
   }
+  text.Add("first_byte_seconds", metrics.first_byte);
+  text.Add("whole_answer_seconds", metrics.whole_answer);
+  text.Add("quota_wait_seconds", metrics.quota_wait);
+  text.Add("hold_seconds", metrics.hold);
   text.Add("open_requests", router.requests().open());
   text.Add("held_requests", router.requests().held());
   text.Add("workers", state.workers.size());
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -85,6 +85,20 @@
          {"peers", m_settings.peer_endpoint},
          {"store", m_settings.store_endpoint}});
   }
+  // The settings file has changed: takes over what a running process can.
+  void Reload() {
+    try {
+      const ServingSettings next =
+          ParseServingSettings(ReadWholeFile(m_settings.file), m_settings.file);
+      const SettingChanges changes = CompareSettings(m_settings, next);
+      m_log.SetDecisions(next.log_decisions);
+      Log(LogEvent::kReloaded, {{"file", m_settings.file},
+                                {"applied", changes.applied},
+                                {"need_restart", changes.need_restart}});
+    } catch (const Error& error) {
+      Log(LogEvent::kReloadRejected, {{"detail", error.what()}});
+    }
+  }
   // Loss and return of the store are logged alike everywhere.
   void LogStore(const std::string& prefix, const StoreLost& lost) {
     Log(LogEvent::kPlatformUnreachable,
@@ -181,7 +195,9 @@
                          ParseEndpoint(settings.metrics_endpoint),
                          {.ready = [] { return true; },
                           .body = [this] { return Metrics(); }}),
-        m_signals(m_loop, {.stop = [this] { Drain(); }, .reload = [] {}}) {}
+        m_signals(m_loop,
+                  {.stop = [this] { Drain(); },
+                   .reload = [this] { this->Reload(); }}) {}
 
   void Run() {
     m_peers.Start();
@@ -421,7 +437,7 @@
                           .body = [this] { return Metrics(); }}),
         m_signals(m_loop,
                   {.stop = [this] { m_machine.Post(ControllerDrainAsked{}); },
-                   .reload = [] {}}) {}
+                   .reload = [this] { this->Reload(); }}) {}
 
   void Run() {
     m_peers.Start();
--- a/source/frontends/serving/serving_settings.cc
+++ b/source/frontends/serving/serving_settings.cc
@@ -21,7 +21,8 @@
   const auto role = kServingRoleNames.Find(reader.Text(kRole));
   reader.Check(role.has_value(), "node", "role",
                "one of " + kServingRoleNames.Choices());
-  return {.role = role.value_or(ServingRole::kGateway),
+  return {.file = reader.file(),
+          .role = role.value_or(ServingRole::kGateway),
           .vm = reader.Text(kVm),
           .data_centre = reader.Text(kDataCentre),
           .http_endpoint = reader.Text(kHttpEndpoint),
@@ -40,6 +41,37 @@
           .log_decisions = reader.Flag(kLogDecisions)};
 }
 
+struct NamedValue {
+  std::string name;
+  std::string value;
+};
+
+template <typename Setting>
+NamedValue Named(const Setting& setting, std::string value) {
+  return {.name = std::string(setting.section) + "." + std::string(setting.key),
+          .value = std::move(value)};
+}
+
+std::vector<NamedValue> ValuesOf(const ServingSettings& values) {
+  using namespace serving_settings;
+  return {Named(kRole, std::string(kServingRoleNames.Name(values.role))),
+          Named(kVm, values.vm),
+          Named(kDataCentre, values.data_centre),
+          Named(kHttpEndpoint, values.http_endpoint),
+          Named(kReadyEndpoint, values.ready_endpoint),
+          Named(kMetricsEndpoint, values.metrics_endpoint),
+          Named(kPeerEndpoint, values.peer_endpoint),
+          Named(kControllerPort, std::to_string(values.controller_port)),
+          Named(kStoreEndpoint, values.store_endpoint),
+          Named(kEngineEndpoint, values.engine_endpoint),
+          Named(kKeyRevocationMs, std::to_string(values.key_revocation_ms)),
+          Named(kRetryPercent, std::to_string(values.retry_percent)),
+          Named(kRetryReserve, std::to_string(values.retry_reserve)),
+          Named(kQuotaSlack, std::to_string(values.quota_slack)),
+          Named(kGraceS, std::to_string(values.grace_s)),
+          Named(kLogDecisions, values.log_decisions ? "true" : "false")};
+}
+
 void CheckWhole(SettingsReader& reader, const ServingSettings& values) {
   const auto check = [&reader](const std::string& value,
                                const TextSetting& setting) {
@@ -69,6 +101,22 @@
   return values;
 }
 
+SettingChanges CompareSettings(const ServingSettings& running,
+                               const ServingSettings& next) {
+  const std::string live = Named(serving_settings::kLogDecisions, "").name;
+  const std::vector<NamedValue> before = ValuesOf(running);
+  const std::vector<NamedValue> after = ValuesOf(next);
+  SettingChanges changes;
+  for (std::size_t i = 0; i < after.size(); ++i) {
+    if (after[i].value == before[i].value)
+      continue;
+    std::string& list =
+        after[i].name == live ? changes.applied : changes.need_restart;
+    list += (list.empty() ? "" : ",") + after[i].name;
+  }
+  return changes;
+}
+
 std::string DefaultServingSettingsText() {
   const std::string nothing;
   SettingsReader reader(nothing, "defaults");
--- a/source/frontends/serving/serving_settings.h
+++ b/source/frontends/serving/serving_settings.h
@@ -73,6 +73,8 @@
 }  // namespace serving_settings
 
 struct ServingSettings {
+  // Where they were read from.
+  std::string file;
   ServingRole role = ServingRole::kGateway;
   std::string vm;
   std::string data_centre;
@@ -95,6 +97,16 @@
 ServingSettings ParseServingSettings(const std::string& text,
                                      const std::string& file);
 
+// Settings of `next` that differ from `running`, as "section.key", comma
+// between them.
+struct SettingChanges {
+  // What a running process takes over.
+  std::string applied;
+  std::string need_restart;
+};
+SettingChanges CompareSettings(const ServingSettings& running,
+                               const ServingSettings& next);
+
 // A commented file with all defaults.
 std::string DefaultServingSettingsText();
 
--- a/source/frontends/settings_reader.h
+++ b/source/frontends/settings_reader.h
@@ -69,6 +69,8 @@
                 m_file + ":1: not an INI file: " + message);
   }
 
+  const std::string& file() const { return m_file; }
+
   std::string Text(const TextSetting& setting) {
     Declare(Describe(setting));
     const std::optional<std::string> value =
