--- a/source/benchmarks/capacity_slopes.cc
+++ b/source/benchmarks/capacity_slopes.cc
@@ -19,8 +19,8 @@
 #include "core/feed/feed_node.h"
 #include "core/once/once_page.h"
 #include "core/placement/planner.h"
-#include "core/quota/quota_desk.h"
-#include "core/routing/poison_book.h"
+#include "core/quota/quota_manager.h"
+#include "core/routing/quarantine.h"
 #include "unit_tests/end_to_end/deployment.h"
 #include "wire/peer_codec.h"
 #include "wire/record_codec.h"
@@ -217,10 +217,10 @@
   std::vector<Sample> loans;
   std::vector<Sample> poll;
   for (const int borrowers : {10, 100, 1000}) {
-    ShareBucket bucket(
+    TokenBucket bucket(
         kStart,
         {.rate_tokens_per_second = 1'000'000, .burst_tokens = 4'000'000},
-        kShareUnits, ShareBucket::Start::kFull);
+        kShareUnits, TokenBucket::Start::kFull);
     std::uint64_t number = 0;
     TimePoint now = kStart;
     loans.push_back({static_cast<double>(borrowers),
@@ -238,16 +238,16 @@
   }
   PrintSlope("asks answered by a holder, by asks", "us", loans);
   for (const int teams : {10, 100, 1000}) {
-    QuotaDesk desk({.vm = "r0", .incarnation = 1});
+    QuotaManager manager({.vm = "r0", .incarnation = 1});
     for (int i = 0; i < teams; ++i)
-      desk.SetTeam(kStart, "team-" + std::to_string(i),
-                   {.rate_tokens_per_second = 1000, .burst_tokens = 2000},
-                   QuotaDesk::TeamOrigin::kFound);
+      manager.SetTeam(kStart, "team-" + std::to_string(i),
+                      {.rate_tokens_per_second = 1000, .burst_tokens = 2000},
+                      QuotaManager::TeamOrigin::kFound);
     TimePoint now = kStart;
     poll.push_back(
         {static_cast<double>(teams),
-         MicrosecondsOf([&] { desk.Poll(now += QuotaDesk::kPollInterval); },
-                        200)});
+         MicrosecondsOf(
+             [&] { manager.Poll(now += QuotaManager::kPollInterval); }, 200)});
   }
   PrintSlope("one poll of all teams, by teams", "us", poll);
   const PeerSender self{.vm = "router-1100",
--- a/source/benchmarks/decision_benchmark.cc
+++ b/source/benchmarks/decision_benchmark.cc
@@ -9,7 +9,7 @@
 #include "core/config/config_view.h"
 #include "core/feed/feed_store.h"
 #include "core/once/once_owner.h"
-#include "core/quota/quota_desk.h"
+#include "core/quota/quota_manager.h"
 #include "core/routing/choice.h"
 #include "core/routing/fair_queue.h"
 #include "wire/peer_codec.h"
@@ -23,17 +23,17 @@
   const ProcessId self{.vm = "r0", .incarnation = 1, .listed_version = 1};
   Roster roster;
   roster.Apply(kStart, {.version = 1, .entries = {{.vm = "r0"}}});
-  QuotaDesk desk(self);
-  desk.SetTeam(kStart, "team",
-               {.rate_tokens_per_second = 4'000'000'000U,
-                .burst_tokens = 4'000'000'000U},
-               QuotaDesk::TeamOrigin::kCreated);
-  desk.PlanPage(kStart, roster, false);
-  desk.PageWritten(kStart, WriteOutcome::kWritten, 2);
+  QuotaManager manager(self);
+  manager.SetTeam(kStart, "team",
+                  {.rate_tokens_per_second = 4'000'000'000U,
+                   .burst_tokens = 4'000'000'000U},
+                  QuotaManager::TeamOrigin::kCreated);
+  manager.PlanPage(kStart, roster, false);
+  manager.PageWritten(kStart, WriteOutcome::kWritten, 2);
   TimePoint now = kStart;
   for (auto _ : state) {
     now += std::chrono::microseconds(1);
-    benchmark::DoNotOptimize(desk.Admit(now, "team", 100));
+    benchmark::DoNotOptimize(manager.Admit(now, "team", 100));
   }
 }
 BENCHMARK(QuotaAdmit);
--- a/source/core/agent/agent.h
+++ b/source/core/agent/agent.h
@@ -8,8 +8,8 @@
 #include "common/time.h"
 #include "core/agent/agent_messages.h"
 #include "core/agent/agent_state.h"
-#include "core/agent/run_desk.h"
-#include "core/agent/unit_desk.h"
+#include "core/agent/load_scheduler.h"
+#include "core/agent/run_scheduler.h"
 
 namespace boragepick {
 
@@ -30,8 +30,8 @@
   bool Ready() const { return m_state.feed.HasView() && !m_state.draining; }
 
   const AgentState& state() const { return m_state; }
-  const UnitDesk& units() const { return m_units; }
-  const RunDesk& runs() const { return m_runs; }
+  const LoadScheduler& units() const { return m_units; }
+  const RunScheduler& runs() const { return m_runs; }
 
  private:
   void On(TimePoint now, PeerReceived event);
@@ -57,8 +57,8 @@
   StatusReport MakeStatus(TimePoint now) const;
 
   AgentState m_state;
-  UnitDesk m_units;
-  RunDesk m_runs;
+  LoadScheduler m_units;
+  RunScheduler m_runs;
   TimePoint m_next_slow_tick = TimePoint{};
   TimePoint m_drain_started = kNever;
   bool m_drain_done = false;
--- a/source/core/agent/unit_desk.cc
+++ b/source/core/agent/load_scheduler.cc
@@ -1,9 +1,9 @@
-#include "core/agent/unit_desk.h"
+#include "core/agent/load_scheduler.h"
 
 #include <algorithm>
 
 #include "common/hashing.h"
-#include "core/routing/slot_desk.h"
+#include "core/routing/slot_semaphore.h"
 
 namespace boragepick {
 
@@ -15,15 +15,15 @@
 
 }  // namespace
 
-bool UnitDesk::MayRun(const std::string& model) const {
+bool LoadScheduler::MayRun(const std::string& model) const {
   return m_state.view.IsPermitted(model, m_state.options.vm);
 }
 
-bool UnitDesk::IsAdapter(const std::string& unit) const {
+bool LoadScheduler::IsAdapter(const std::string& unit) const {
   return m_state.view.Find(ResourceKind::kAdapter, unit) != nullptr;
 }
 
-std::uint64_t UnitDesk::MemoryOf(const std::string& unit) const {
+std::uint64_t LoadScheduler::MemoryOf(const std::string& unit) const {
   const std::optional<ServedModel> served = m_state.view.Resolve(unit);
   if (!served)
     return 0;
@@ -31,7 +31,7 @@
                                  : served->adapter_memory_mb;
 }
 
-std::string UnitDesk::WeightsOf(const std::string& unit) const {
+std::string LoadScheduler::WeightsOf(const std::string& unit) const {
   if (const auto* adapter =
           m_state.view.FindSpec<AdapterSpec>(ResourceKind::kAdapter, unit))
     return adapter->weights;
@@ -42,19 +42,19 @@
 // --- Wishes
 // ---------------------------------------------------------------------------------------
 
-bool UnitDesk::Want(TimePoint now,
-                    const std::string& model,
-                    const std::string& adapter,
-                    Priority priority) {
+bool LoadScheduler::Want(TimePoint now,
+                         const std::string& model,
+                         const std::string& adapter,
+                         Priority priority) {
   if (!WantUnit(now, model, "", priority))
     return false;
   return adapter.empty() || WantUnit(now, adapter, model, priority);
 }
 
-bool UnitDesk::WantUnit(TimePoint now,
-                        const std::string& unit,
-                        const std::string& base,
-                        Priority priority) {
+bool LoadScheduler::WantUnit(TimePoint now,
+                             const std::string& unit,
+                             const std::string& base,
+                             Priority priority) {
   const LedgerEntry* entry = m_ledger.Find(unit);
   const bool resident =
       entry != nullptr && entry->residency == Residency::kResident;
@@ -83,15 +83,15 @@
   return false;
 }
 
-std::string UnitDesk::SlotPoolOf(const Wish& wish) {
+std::string LoadScheduler::SlotPoolOf(const Wish& wish) {
   return wish.base_model.empty() ? kWeightSlots : kAdapterSlots;
 }
 
-void UnitDesk::AskForSlot(TimePoint now, Wish& wish, bool done) {
+void LoadScheduler::AskForSlot(TimePoint now, Wish& wish, bool done) {
   const std::string pool = SlotPoolOf(wish);
   const std::vector<std::string> order =
       RendezvousOrder("slots/" + pool, m_state.roster.LiveRouters());
-  wish.next_ask = now + SlotDesk::kAskPeriod;
+  wish.next_ask = now + SlotSemaphore::kAskPeriod;
   if (order.empty())
     return;
   m_state.SendToVm(order.front(), SlotAsk{.number = wish.slot_number,
@@ -100,7 +100,8 @@
                                           .done = done});
 }
 
-void UnitDesk::GiveSlotBack(std::uint64_t number, const std::string& pool) {
+void LoadScheduler::GiveSlotBack(std::uint64_t number,
+                                 const std::string& pool) {
   const std::vector<std::string> order =
       RendezvousOrder("slots/" + pool, m_state.roster.LiveRouters());
   if (!order.empty())
@@ -108,7 +109,7 @@
                      SlotAsk{.number = number, .pool = pool, .done = true});
 }
 
-void UnitDesk::Take(TimePoint /*now*/, const SlotGrant& grant) {
+void LoadScheduler::Take(TimePoint /*now*/, const SlotGrant& grant) {
   for (auto& [unit, wish] : m_wishes) {
     if (wish.slot_number != grant.number || SlotPoolOf(wish) != grant.pool)
       continue;
@@ -118,9 +119,9 @@
   }
 }
 
-bool UnitDesk::HasPlace(TimePoint now,
-                        const std::string& /*unit*/,
-                        Wish& wish) {
+bool LoadScheduler::HasPlace(TimePoint now,
+                             const std::string& /*unit*/,
+                             Wish& wish) {
   if (wish.slot_granted)
     return true;
   if (now >= wish.next_ask)
@@ -133,7 +134,7 @@
 // --- Loads
 // ----------------------------------------------------------------------------------------
 
-void UnitDesk::Advance(TimePoint now) {
+void LoadScheduler::Advance(TimePoint now) {
   // why: before the engine has told what it holds, its free memory is not known
   if (!m_inventory_seen)
     return;
@@ -155,9 +156,9 @@
     m_wishes.erase(unit);
 }
 
-bool UnitDesk::MakeRoom(TimePoint now,
-                        const std::string& /*unit*/,
-                        std::uint64_t needed_mb) {
+bool LoadScheduler::MakeRoom(TimePoint now,
+                             const std::string& /*unit*/,
+                             std::uint64_t needed_mb) {
   if (needed_mb <= m_ledger.FreeMb())
     return true;
   const std::optional<std::vector<std::string>> victims =
@@ -169,9 +170,9 @@
   return false;
 }
 
-void UnitDesk::StartLoad(TimePoint now,
-                         const std::string& unit,
-                         const Wish& wish) {
+void LoadScheduler::StartLoad(TimePoint now,
+                              const std::string& unit,
+                              const Wish& wish) {
   const std::uint64_t fence = m_state.NextFence();
   const std::uint64_t memory_mb = MemoryOf(unit);
   if (!m_ledger.StartLoad(now, unit, memory_mb, fence))
@@ -200,7 +201,7 @@
                          .memory_mb = memory_mb});
 }
 
-void UnitDesk::OrderUnload(const std::string& unit, LogEvent reason) {
+void LoadScheduler::OrderUnload(const std::string& unit, LogEvent reason) {
   const LedgerEntry* entry = m_ledger.Find(unit);
   if (entry == nullptr || entry->residency == Residency::kUnloading)
     return;
@@ -214,7 +215,7 @@
   m_state.Emit(SendOrder{.fence = fence, .kind = kind, .name = unit});
 }
 
-void UnitDesk::Take(TimePoint now, const OrderAnswered& answer) {
+void LoadScheduler::Take(TimePoint now, const OrderAnswered& answer) {
   const auto found = m_orders.find(answer.fence);
   if (found == m_orders.end())
     return;
@@ -251,11 +252,11 @@
   AskForInventory();
 }
 
-void UnitDesk::AskForInventory() {
+void LoadScheduler::AskForInventory() {
   m_state.Emit(AskInventory{.fence = m_state.last_fence});
 }
 
-void UnitDesk::Take(TimePoint now, const InventoryReceived& inventory) {
+void LoadScheduler::Take(TimePoint now, const InventoryReceived& inventory) {
   if (!inventory.answered) {
     DoubtEngine(now);
     return;
@@ -270,19 +271,19 @@
 }
 
 // --- Unloads
-void UnitDesk::DoubtEngine(TimePoint now) {
+void LoadScheduler::DoubtEngine(TimePoint now) {
   if (m_doubted_since == kNever)
     m_doubted_since = now;
   m_next_inventory = std::min(m_next_inventory, now + kDoubtPeriod);
 }
 
-bool UnitDesk::EngineDown(TimePoint now) const {
+bool LoadScheduler::EngineDown(TimePoint now) const {
   constexpr Duration kRestartTime = std::chrono::seconds(1);
   return m_doubted_since != kNever && now - m_doubted_since >= kRestartTime;
 }
 
-bool UnitDesk::IsResident(const std::string& model,
-                          const std::string& adapter) const {
+bool LoadScheduler::IsResident(const std::string& model,
+                               const std::string& adapter) const {
   const auto resident = [this](const std::string& unit) {
     const LedgerEntry* entry = m_ledger.Find(unit);
     return entry != nullptr && entry->residency == Residency::kResident;
@@ -292,9 +293,9 @@
 
 // --------------------------------------------------------------------------------------
 
-bool UnitDesk::IsStale(TimePoint now,
-                       const std::string& unit,
-                       const LedgerEntry& entry) const {
+bool LoadScheduler::IsStale(TimePoint now,
+                            const std::string& unit,
+                            const LedgerEntry& entry) const {
   const std::optional<ServedModel> served = m_state.view.Resolve(unit);
   if (!served || served->idle_unload_seconds == 0)
     return false;
@@ -302,7 +303,7 @@
          std::chrono::seconds(served->idle_unload_seconds);
 }
 
-void UnitDesk::UnloadUnwanted(TimePoint now) {
+void LoadScheduler::UnloadUnwanted(TimePoint now) {
   if (!m_state.feed.HasView() || !m_inventory_seen)
     return;
   std::vector<std::string> unpermitted;
@@ -330,7 +331,7 @@
     OrderUnload(unit, LogEvent::kModelEvicted);
 }
 
-void UnitDesk::Tick(TimePoint now) {
+void LoadScheduler::Tick(TimePoint now) {
   if (m_last_tick != kNever) {
     for (const auto& [unit, entry] : m_ledger.entries()) {
       if (entry.residency == Residency::kResident && entry.users == 0 &&
@@ -350,7 +351,7 @@
                                                .pool = order.slot_pool});
   }
   if (now >= m_next_slot_renewal)
-    m_next_slot_renewal = now + SlotDesk::kAskPeriod;
+    m_next_slot_renewal = now + SlotSemaphore::kAskPeriod;
   if (now >= m_next_inventory) {
     const bool settled = m_inventory_seen && EngineUp();
     m_next_inventory = now + (settled ? kInventoryPeriod : kDoubtPeriod);
@@ -360,23 +361,23 @@
   Advance(now);
 }
 
-void UnitDesk::StartUse(TimePoint now,
-                        const std::string& model,
-                        const std::string& adapter) {
+void LoadScheduler::StartUse(TimePoint now,
+                             const std::string& model,
+                             const std::string& adapter) {
   m_ledger.StartUse(now, model);
   if (!adapter.empty())
     m_ledger.StartUse(now, adapter);
 }
 
-void UnitDesk::EndUse(TimePoint now,
-                      const std::string& model,
-                      const std::string& adapter) {
+void LoadScheduler::EndUse(TimePoint now,
+                           const std::string& model,
+                           const std::string& adapter) {
   m_ledger.EndUse(now, model);
   if (!adapter.empty())
     m_ledger.EndUse(now, adapter);
 }
 
-std::vector<ResidentUnit> UnitDesk::Units() const {
+std::vector<ResidentUnit> LoadScheduler::Units() const {
   std::vector<ResidentUnit> units;
   for (const auto& [name, entry] : m_ledger.entries()) {
     // why: adapters are many and small; routers choose by the model
--- a/source/core/agent/unit_desk.h
+++ b/source/core/agent/load_scheduler.h
@@ -28,7 +28,7 @@
   double idle_resident_seconds = 0;
 };
 
-class UnitDesk {
+class LoadScheduler {
  public:
   static constexpr Duration kInventoryPeriod = std::chrono::seconds(2);
   // The same while it is not certain that the engine is up.
@@ -40,7 +40,7 @@
   // given up.
   static constexpr Duration kSlotPatience = std::chrono::milliseconds(1200);
 
-  explicit UnitDesk(AgentState& state)
+  explicit LoadScheduler(AgentState& state)
       : m_state(state), m_ledger(state.options.memory_mb) {}
 
   // Whether the model, and the adapter if there is one, can be used now.
--- a/source/core/agent/run_desk.cc
+++ b/source/core/agent/run_scheduler.cc
@@ -1,4 +1,4 @@
-#include "core/agent/run_desk.h"
+#include "core/agent/run_scheduler.h"
 
 #include <algorithm>
 
@@ -14,19 +14,19 @@
 
 }  // namespace
 
-RunDesk::Run* RunDesk::Find(RunNumber number) {
+RunScheduler::Run* RunScheduler::Find(RunNumber number) {
   const auto found = m_runs.find(number);
   return found == m_runs.end() ? nullptr : &found->second;
 }
 
-void RunDesk::Tell(TimePoint now, Run& run, PeerMessage message) {
+void RunScheduler::Tell(TimePoint now, Run& run, PeerMessage message) {
   run.last_told = now;
   m_state.Emit(SendToEndpoint{.endpoint = run.from.endpoint,
                               .message = std::move(message)});
 }
 
-std::string RunDesk::ReasonToRefuse(TimePoint now,
-                                    const RunRequest& request) const {
+std::string RunScheduler::ReasonToRefuse(TimePoint now,
+                                         const RunRequest& request) const {
   if (m_closed)
     return "the agent is leaving";
   if (m_waiting.size() + m_queue.Size() >= m_state.options.max_waiting)
@@ -42,7 +42,9 @@
   return "";
 }
 
-void RunDesk::Take(TimePoint now, const PeerSender& from, RunRequest request) {
+void RunScheduler::Take(TimePoint now,
+                        const PeerSender& from,
+                        RunRequest request) {
   m_routers[from.vm] = {.endpoint = from.endpoint, .used = now};
   const RunKey key{
       .router = from.vm, .incarnation = from.incarnation, .id = request.id};
@@ -74,9 +76,9 @@
   Pump(now);
 }
 
-void RunDesk::Take(TimePoint now,
-                   const PeerSender& from,
-                   const CancelRun& cancel) {
+void RunScheduler::Take(TimePoint now,
+                        const PeerSender& from,
+                        const CancelRun& cancel) {
   const auto found = m_numbers.find(
       {.router = from.vm, .incarnation = from.incarnation, .id = cancel.id});
   if (found == m_numbers.end())
@@ -93,7 +95,7 @@
 // --- Start
 // ----------------------------------------------------------------------------------------
 
-void RunDesk::MoveWaiting(TimePoint now) {
+void RunScheduler::MoveWaiting(TimePoint now) {
   std::vector<RunNumber> ready;
   for (const RunNumber number : m_waiting) {
     const RunRequest& request = m_runs.at(number).request;
@@ -117,7 +119,7 @@
   }
 }
 
-void RunDesk::StartNext(TimePoint now) {
+void RunScheduler::StartNext(TimePoint now) {
   // why: what is sent to an engine that is down would look like its crash
   if (!m_units.EngineUp())
     return;
@@ -150,14 +152,14 @@
 }
 
 // The engine was restarted while the run was queued.
-void RunDesk::WaitAgain(TimePoint now, RunNumber number, Run& run) {
+void RunScheduler::WaitAgain(TimePoint now, RunNumber number, Run& run) {
   m_units.EndUse(now, run.request.model, run.request.adapter);
   run.in_use = false;
   run.stage = RunStage::kWaitingUnit;
   m_waiting.insert(number);
 }
 
-void RunDesk::Start(TimePoint now, RunNumber number, Run& run) {
+void RunScheduler::Start(TimePoint now, RunNumber number, Run& run) {
   run.stage = RunStage::kRunning;
   run.last_progress = now;
   ++m_running;
@@ -167,7 +169,7 @@
   m_state.Emit(StartRun{.run = number, .request = run.request});
 }
 
-void RunDesk::EndRefused(TimePoint now) {
+void RunScheduler::EndRefused(TimePoint now) {
   const std::set<std::string> refused = m_units.TakeRefused();
   if (refused.empty())
     return;
@@ -181,7 +183,7 @@
     End(now, number, RunEnd::kNotRun, "the engine refused to load the model");
 }
 
-void RunDesk::Pump(TimePoint now) {
+void RunScheduler::Pump(TimePoint now) {
   EndRefused(now);
   MoveWaiting(now);
   m_units.Advance(now);
@@ -191,7 +193,7 @@
 // --- The upstream's answers
 // -----------------------------------------------------------------------
 
-void RunDesk::Take(TimePoint now, const UpstreamHead& head) {
+void RunScheduler::Take(TimePoint now, const UpstreamHead& head) {
   Run* run = Find(head.run);
   if (run == nullptr)
     return;
@@ -208,7 +210,7 @@
   Tell(now, *run, RunHead{.id = run->request.id, .head = head.head});
 }
 
-void RunDesk::Take(TimePoint now, UpstreamBytes bytes) {
+void RunScheduler::Take(TimePoint now, UpstreamBytes bytes) {
   Run* run = Find(bytes.run);
   if (run == nullptr)
     return;
@@ -219,7 +221,7 @@
                 .bytes = std::move(bytes.bytes)});
 }
 
-void RunDesk::Take(TimePoint now, const UpstreamEnded& ended) {
+void RunScheduler::Take(TimePoint now, const UpstreamEnded& ended) {
   Run* run = Find(ended.run);
   if (run == nullptr)
     return;
@@ -241,7 +243,7 @@
   Pump(now);
 }
 
-void RunDesk::Take(TimePoint now, const InventoryReceived& inventory) {
+void RunScheduler::Take(TimePoint now, const InventoryReceived& inventory) {
   const bool restarted = inventory.answered && !m_engine_run.empty() &&
                          inventory.engine_run != m_engine_run;
   const bool crashed = restarted || !inventory.answered;
@@ -268,11 +270,11 @@
   Pump(now);
 }
 
-void RunDesk::End(TimePoint now,
-                  RunNumber number,
-                  RunEnd end,
-                  const std::string& detail,
-                  const std::string& crash) {
+void RunScheduler::End(TimePoint now,
+                       RunNumber number,
+                       RunEnd end,
+                       const std::string& detail,
+                       const std::string& crash) {
   Run& run = m_runs.at(number);
   const bool held_place =
       run.stage == RunStage::kRunning || run.stage == RunStage::kBroken;
@@ -302,7 +304,7 @@
 // --- Time
 // -----------------------------------------------------------------------------------------
 
-void RunDesk::CheckTimes(TimePoint now) {
+void RunScheduler::CheckTimes(TimePoint now) {
   for (const RunNumber number : m_queue.TakeExpired(now))
     End(now, number, RunEnd::kNotRun, "its deadline came while it waited");
   std::vector<RunNumber> late;
@@ -329,12 +331,12 @@
   }
 }
 
-void RunDesk::RememberEnded(TimePoint now, const RunKey& key) {
+void RunScheduler::RememberEnded(TimePoint now, const RunKey& key) {
   m_ended.insert(key);
   m_ended_order.emplace_back(now + kEndedLife, key);
 }
 
-void RunDesk::ForgetEnded(TimePoint now) {
+void RunScheduler::ForgetEnded(TimePoint now) {
   while (!m_ended_order.empty() && m_ended_order.front().first <= now) {
     m_ended.erase(m_ended_order.front().second);
     m_ended_order.pop_front();
@@ -342,7 +344,7 @@
 }
 
 // Routers find another agent for what the engine can't take now.
-void RunDesk::EndUnstarted(TimePoint now) {
+void RunScheduler::EndUnstarted(TimePoint now) {
   std::vector<RunNumber> unstarted;
   for (const auto& [number, run] : m_runs) {
     const bool started =
@@ -354,7 +356,7 @@
     End(now, number, RunEnd::kNotRun, "the engine does not answer");
 }
 
-void RunDesk::Tick(TimePoint now) {
+void RunScheduler::Tick(TimePoint now) {
   CheckTimes(now);
   ForgetEnded(now);
   std::erase_if(m_routers, [&](const auto& entry) {
@@ -364,7 +366,7 @@
   Pump(now);
 }
 
-AgentReport RunDesk::Report() const {
+AgentReport RunScheduler::Report() const {
   return {
       .running = m_running,
       .waiting = static_cast<std::uint32_t>(m_waiting.size() + m_queue.Size()),
@@ -374,7 +376,7 @@
       .units = m_units.Units()};
 }
 
-void RunDesk::SendReports(TimePoint now) {
+void RunScheduler::SendReports(TimePoint now) {
   if (now < m_next_report)
     return;
   const AgentReport report = Report();
@@ -392,7 +394,7 @@
         SendToEndpoint{.endpoint = router.endpoint, .message = report});
 }
 
-void RunDesk::ReportReleases(TimePoint now, const AgentReport& report) {
+void RunScheduler::ReportReleases(TimePoint now, const AgentReport& report) {
   if (now < m_next_release_report)
     return;
   m_next_release_report = now + kProgressPeriod;
--- a/source/core/agent/run_desk.h
+++ b/source/core/agent/run_scheduler.h
@@ -14,7 +14,7 @@
 #include "common/summary.h"
 #include "common/time.h"
 #include "core/agent/agent_state.h"
-#include "core/agent/unit_desk.h"
+#include "core/agent/load_scheduler.h"
 #include "core/routing/fair_queue.h"
 
 namespace boragepick {
@@ -27,7 +27,7 @@
   Summary queue_seconds;
 };
 
-class RunDesk {
+class RunScheduler {
  public:
   // A router is told so often that an attempt is in hand, unless other messages
   // tell it.
@@ -43,7 +43,7 @@
   // Routers that sent nothing for so long get no reports.
   static constexpr Duration kRouterLife = std::chrono::seconds(10);
 
-  RunDesk(AgentState& state, UnitDesk& units)
+  RunScheduler(AgentState& state, LoadScheduler& units)
       : m_state(state), m_units(units) {}
 
   void Take(TimePoint now, const PeerSender& from, RunRequest request);
@@ -109,7 +109,7 @@
   Run* Find(RunNumber number);
 
   AgentState& m_state;
-  UnitDesk& m_units;
+  LoadScheduler& m_units;
   FairQueue m_queue;
   std::map<RunNumber, Run> m_runs;
   std::map<RunKey, RunNumber> m_numbers;
--- a/source/core/peer_messages.h
+++ b/source/core/peer_messages.h
@@ -16,7 +16,7 @@
 #include "core/placement/memory_ledger.h"
 #include "core/quota/quota_messages.h"
 #include "core/roster/roster_entry.h"
-#include "core/routing/poison_book.h"
+#include "core/routing/quarantine.h"
 #include "core/routing/request.h"
 
 namespace boragepick {
--- a/source/core/quota/quota_desk.cc
+++ b/source/core/quota/quota_manager.cc
@@ -1,4 +1,4 @@
-#include "core/quota/quota_desk.h"
+#include "core/quota/quota_manager.h"
 
 #include <algorithm>
 #include <cmath>
@@ -10,7 +10,7 @@
 
 namespace {
 
-// The purse aims to hold what is spent in so long.
+// The reserve aims to hold what is spent in so long.
 constexpr Duration kAskAhead = std::chrono::milliseconds(800);
 // Weight of the newest measurement in the smoothed spend rate.
 constexpr double kSpendSmoothing = 0.3;
@@ -25,23 +25,23 @@
 
 }  // namespace
 
-void QuotaDesk::SetTeam(TimePoint now,
-                        const std::string& team,
-                        const TeamSpec& spec,
-                        TeamOrigin origin) {
+void QuotaManager::SetTeam(TimePoint now,
+                           const std::string& team,
+                           const TeamSpec& spec,
+                           TeamOrigin origin) {
   Team& entry = m_teams[team];
   entry.spec = spec;
   entry.page = SharePageOf(team);
   const bool full = origin == TeamOrigin::kCreated;
   Reconfigure(now, entry,
-              full ? ShareBucket::Start::kFull : ShareBucket::Start::kEmpty);
+              full ? TokenBucket::Start::kFull : TokenBucket::Start::kEmpty);
 }
 
-void QuotaDesk::RemoveTeam(const std::string& team) {
+void QuotaManager::RemoveTeam(const std::string& team) {
   m_teams.erase(team);
 }
 
-void QuotaDesk::SetPage(TimePoint now, const SharePage& page) {
+void QuotaManager::SetPage(TimePoint now, const SharePage& page) {
   const auto known = m_pages.find(page.page);
   if (known != m_pages.end() && known->second.revision >= page.revision)
     return;
@@ -51,10 +51,10 @@
   if (m_writing && m_writing->page == page.page &&
       page.revision > m_writing->revision)
     m_writing.reset();
-  ReconfigurePage(now, page.page, ShareBucket::Start::kEmpty);
+  ReconfigurePage(now, page.page, TokenBucket::Start::kEmpty);
 }
 
-std::uint32_t QuotaDesk::EffectiveUnits(std::uint32_t page) const {
+std::uint32_t QuotaManager::EffectiveUnits(std::uint32_t page) const {
   const auto stored = m_pages.find(page);
   std::uint32_t units =
       stored == m_pages.end() ? 0 : UnitsOf(stored->second, m_self);
@@ -63,9 +63,9 @@
   return units;
 }
 
-void QuotaDesk::Reconfigure(TimePoint now,
-                            Team& team,
-                            ShareBucket::Start start) {
+void QuotaManager::Reconfigure(TimePoint now,
+                               Team& team,
+                               TokenBucket::Start start) {
   const std::uint32_t units = EffectiveUnits(team.page);
   if (team.bucket) {
     team.bucket->Configure(now, team.spec, units);
@@ -75,30 +75,32 @@
     team.bucket.emplace(now, team.spec, units, start, m_early_part);
 }
 
-void QuotaDesk::ReconfigurePage(TimePoint now,
-                                std::uint32_t page,
-                                ShareBucket::Start start) {
+void QuotaManager::ReconfigurePage(TimePoint now,
+                                   std::uint32_t page,
+                                   TokenBucket::Start start) {
   for (auto& [name, team] : m_teams) {
     if (team.page == page)
       Reconfigure(now, team, start);
   }
 }
 
-bool QuotaDesk::Admit(TimePoint now, const std::string& team, Tokens cost) {
+bool QuotaManager::Admit(TimePoint now, const std::string& team, Tokens cost) {
   const auto found = m_teams.find(team);
   if (found == m_teams.end())
     return false;
   Team& entry = found->second;
-  const Tokens available = entry.purse.Available(now);
+  const Tokens available = entry.reserve.Available(now);
   if (available < cost)
     BorrowFromSelf(now, entry, kSelfLoanCosts * cost - available);
-  if (!entry.purse.Spend(now, cost))
+  if (!entry.reserve.Spend(now, cost))
     return false;
   entry.spent_since_poll += cost;
   return true;
 }
 
-void QuotaDesk::SetWaiting(const std::string& team, Tokens first, Tokens all) {
+void QuotaManager::SetWaiting(const std::string& team,
+                              Tokens first,
+                              Tokens all) {
   const auto found = m_teams.find(team);
   if (found == m_teams.end())
     return;
@@ -106,15 +108,15 @@
   found->second.waiting_all = all;
 }
 
-void QuotaDesk::Settle(const std::string& team, Tokens unused) {
+void QuotaManager::Settle(const std::string& team, Tokens unused) {
   const auto found = m_teams.find(team);
   if (found != m_teams.end() && unused > 0)
     found->second.refund += unused;
 }
 
-QuotaLoan QuotaDesk::HandleAsk(TimePoint now,
-                               const std::string& borrower,
-                               const QuotaAsk& ask) {
+QuotaLoan QuotaManager::HandleAsk(TimePoint now,
+                                  const std::string& borrower,
+                                  const QuotaAsk& ask) {
   QuotaLoan answer{.team = ask.team, .number = ask.number, .tokens = 0};
   const auto found = m_teams.find(ask.team);
   if (found == m_teams.end() || !found->second.bucket)
@@ -135,31 +137,31 @@
   return answer;
 }
 
-void QuotaDesk::HandleLoan(TimePoint now,
-                           const std::string& lender,
-                           const QuotaLoan& loan) {
+void QuotaManager::HandleLoan(TimePoint now,
+                              const std::string& lender,
+                              const QuotaLoan& loan) {
   const auto found = m_teams.find(loan.team);
   if (found != m_teams.end())
-    found->second.purse.TakeLoan(now, lender, loan.number, loan.tokens);
+    found->second.reserve.TakeLoan(now, lender, loan.number, loan.tokens);
 }
 
-void QuotaDesk::BorrowFromSelf(TimePoint now, Team& team, Tokens wanted) {
+void QuotaManager::BorrowFromSelf(TimePoint now, Team& team, Tokens wanted) {
   if (!team.bucket || wanted <= 0)
     return;
-  const PurseAsk ask = team.purse.StartAsk(now, m_self.vm, wanted);
+  const ReserveAsk ask = team.reserve.StartAsk(now, m_self.vm, wanted);
   const LoanId loan{.borrower = BorrowerName(m_self), .number = ask.number};
-  team.purse.TakeLoan(now, m_self.vm, ask.number,
-                      team.bucket->Lend(now, loan, wanted));
+  team.reserve.TakeLoan(now, m_self.vm, ask.number,
+                        team.bucket->Lend(now, loan, wanted));
 }
 
-std::vector<OutgoingAsk> QuotaDesk::Poll(TimePoint now) {
+std::vector<OutgoingAsk> QuotaManager::Poll(TimePoint now) {
   std::vector<OutgoingAsk> out;
   for (auto& [name, team] : m_teams)
     PollTeam(now, name, team, out);
   return out;
 }
 
-Tokens QuotaDesk::MissingTokens(TimePoint now, Team& team) {
+Tokens QuotaManager::MissingTokens(TimePoint now, Team& team) {
   const double elapsed = ToSeconds(now - team.last_poll);
   if (elapsed > 0) {
     const double measured =
@@ -172,22 +174,22 @@
       static_cast<Tokens>(std::llround(team.spend_rate * ToSeconds(kAskAhead)));
   const Tokens wanted = std::max({ahead, team.waiting_first, team.waiting_all});
   const Tokens useful = std::min<Tokens>(wanted, team.spec.burst_tokens);
-  team.purse.ReturnIdle(now, useful);
-  const Tokens held = team.purse.Available(now) + team.purse.Awaited(now);
+  team.reserve.ReturnIdle(now, useful);
+  const Tokens held = team.reserve.Available(now) + team.reserve.Awaited(now);
   // why: topping up at each poll would cost a message each time
   const bool enough = held >= useful / 2 && held >= team.waiting_all;
   return enough ? 0 : useful - held;
 }
 
-void QuotaDesk::PollTeam(TimePoint now,
-                         const std::string& name,
-                         Team& team,
-                         std::vector<OutgoingAsk>& out) {
+void QuotaManager::PollTeam(TimePoint now,
+                            const std::string& name,
+                            Team& team,
+                            std::vector<OutgoingAsk>& out) {
   Tokens missing = MissingTokens(now, team);
   if (missing > 0 && team.bucket) {
-    const Tokens before = team.purse.Available(now);
+    const Tokens before = team.reserve.Available(now);
     BorrowFromSelf(now, team, missing);
-    missing -= team.purse.Available(now) - before;
+    missing -= team.reserve.Available(now) - before;
   }
   ReportClosed(now, name, team, out);
   if (missing <= 0)
@@ -196,10 +198,10 @@
   for (std::size_t i = 0; i < lenders.size(); ++i) {
     const std::string& lender =
         lenders[(team.next_lender + i) % lenders.size()];
-    if (team.purse.IsAsking(now, lender))
+    if (team.reserve.IsAsking(now, lender))
       continue;
     team.next_lender = (team.next_lender + i + 1) % lenders.size();
-    const PurseAsk ask = team.purse.StartAsk(now, lender, missing);
+    const ReserveAsk ask = team.reserve.StartAsk(now, lender, missing);
     out.push_back(
         {.vm = lender,
          .ask = {.team = name, .number = ask.number, .wanted = ask.wanted}});
@@ -207,8 +209,8 @@
   }
 }
 
-std::vector<std::string> QuotaDesk::OtherLenders(const std::string& name,
-                                                 const Team& team) const {
+std::vector<std::string> QuotaManager::OtherLenders(const std::string& name,
+                                                    const Team& team) const {
   std::vector<std::string> lenders;
   const auto page = m_pages.find(team.page);
   if (page == m_pages.end())
@@ -222,12 +224,12 @@
   return RendezvousOrder(name + "/" + m_self.vm, lenders);
 }
 
-void QuotaDesk::ReportClosed(TimePoint now,
-                             const std::string& name,
-                             Team& team,
-                             std::vector<OutgoingAsk>& out) {
+void QuotaManager::ReportClosed(TimePoint now,
+                                const std::string& name,
+                                Team& team,
+                                std::vector<OutgoingAsk>& out) {
   std::map<std::string, QuotaAsk> reports;
-  for (const ClosedLoan& loan : team.purse.TakeClosed())
+  for (const ClosedLoan& loan : team.reserve.TakeClosed())
     reports[loan.lender].closed.push_back(loan);
   if (team.refund > 0) {
     const std::vector<std::string> lenders =
@@ -245,21 +247,21 @@
   }
 }
 
-bool QuotaDesk::PageHasTeams(std::uint32_t page) const {
+bool QuotaManager::PageHasTeams(std::uint32_t page) const {
   return std::ranges::any_of(
       m_teams, [&](const auto& team) { return team.second.page == page; });
 }
 
-std::optional<SharePage> QuotaDesk::WriteAgain(TimePoint now) {
+std::optional<SharePage> QuotaManager::WriteAgain(TimePoint now) {
   if (now < m_write_again_at)
     return std::nullopt;
   m_write_again_at = kNever;
   return m_writing;
 }
 
-std::optional<SharePage> QuotaDesk::PlanPage(TimePoint now,
-                                             const Roster& roster,
-                                             bool draining) {
+std::optional<SharePage> QuotaManager::PlanPage(TimePoint now,
+                                                const Roster& roster,
+                                                bool draining) {
   // why: a VM that the list doesn't show could be taken for gone while it holds
   // a share
   const bool listed = roster.Find(m_self.vm) != nullptr;
@@ -282,15 +284,15 @@
       continue;
     m_writing = next;
     m_write_again_at = kNever;
-    ReconfigurePage(now, number, ShareBucket::Start::kEmpty);
+    ReconfigurePage(now, number, TokenBucket::Start::kEmpty);
     return next;
   }
   return std::nullopt;
 }
 
-void QuotaDesk::PageWritten(TimePoint now,
-                            WriteOutcome outcome,
-                            Revision revision) {
+void QuotaManager::PageWritten(TimePoint now,
+                               WriteOutcome outcome,
+                               Revision revision) {
   if (!m_writing)
     return;
   const std::uint32_t page = m_writing->page;
@@ -313,16 +315,16 @@
   // why: nobody can have lent from a page that did not exist
   ReconfigurePage(
       now, page,
-      first_ever ? ShareBucket::Start::kFull : ShareBucket::Start::kEmpty);
+      first_ever ? TokenBucket::Start::kFull : TokenBucket::Start::kEmpty);
 }
 
-bool QuotaDesk::HoldsShares() const {
+bool QuotaManager::HoldsShares() const {
   return std::ranges::any_of(m_pages, [&](const auto& page) {
     return UnitsOf(page.second, m_self) > 0;
   });
 }
 
-double QuotaDesk::ShareOf(const std::string& team) const {
+double QuotaManager::ShareOf(const std::string& team) const {
   const auto found = m_teams.find(team);
   if (found == m_teams.end())
     return 0;
@@ -330,23 +332,23 @@
   return found->second.spec.rate_tokens_per_second * units / kShareUnits;
 }
 
-Tokens QuotaDesk::LevelOf(TimePoint now, const std::string& team) {
+Tokens QuotaManager::LevelOf(TimePoint now, const std::string& team) {
   const auto found = m_teams.find(team);
   return found == m_teams.end() || !found->second.bucket
              ? 0
              : found->second.bucket->Level(now);
 }
 
-Tokens QuotaDesk::OutstandingOf(const std::string& team) const {
+Tokens QuotaManager::OutstandingOf(const std::string& team) const {
   const auto found = m_teams.find(team);
   return found == m_teams.end() || !found->second.bucket
              ? 0
              : found->second.bucket->Outstanding();
 }
 
-Tokens QuotaDesk::AvailableOf(TimePoint now, const std::string& team) {
+Tokens QuotaManager::AvailableOf(TimePoint now, const std::string& team) {
   const auto found = m_teams.find(team);
-  return found == m_teams.end() ? 0 : found->second.purse.Available(now);
+  return found == m_teams.end() ? 0 : found->second.reserve.Available(now);
 }
 
 }  // namespace boragepick
--- a/source/core/quota/quota_desk.h
+++ b/source/core/quota/quota_manager.h
@@ -1,5 +1,5 @@
 // All of quota at one router: the shares it holds, the loans it gives, and the
-// purses from which it admits requests. One owner, no locks; asks and page
+// reserves from which it admits requests. One owner, no locks; asks and page
 // writes leave as return values.
 #pragma once
 
@@ -11,10 +11,10 @@
 
 #include "common/time.h"
 #include "core/platform_call.h"
-#include "core/quota/purse.h"
 #include "core/quota/quota_messages.h"
-#include "core/quota/share_bucket.h"
 #include "core/quota/share_page.h"
+#include "core/quota/token_bucket.h"
+#include "core/quota/token_reserve.h"
 #include "core/roster/roster.h"
 
 namespace boragepick {
@@ -25,14 +25,14 @@
   QuotaAsk ask;
 };
 
-class QuotaDesk {
+class QuotaManager {
  public:
   // How a team came to this node's view: kCreated while it watched, or kFound
   // in a snapshot, when tokens may have been spent before.
   enum class TeamOrigin { kFound, kCreated };
 
-  // `early_part`: see ShareBucket.
-  explicit QuotaDesk(ProcessId self, double early_part = 0)
+  // `early_part`: see TokenBucket.
+  explicit QuotaManager(ProcessId self, double early_part = 0)
       : m_self(std::move(self)), m_early_part(early_part) {}
 
   void SetSelfListedVersion(std::uint64_t version) {
@@ -47,7 +47,8 @@
   // The page as stored; older ones than known are passed over.
   void SetPage(TimePoint now, const SharePage& page);
 
-  // Takes `cost` from the purse, or returns false when the request has to wait.
+  // Takes `cost` from the reserve, or returns false when the request has to
+  // wait.
   bool Admit(TimePoint now, const std::string& team, Tokens cost);
 
   // What waits for tokens: the cost of the first request, and of all together.
@@ -91,8 +92,8 @@
   struct Team {
     TeamSpec spec;
     std::uint32_t page = 0;
-    std::optional<ShareBucket> bucket;
-    Purse purse;
+    std::optional<TokenBucket> bucket;
+    TokenReserve reserve;
     Tokens waiting_first = 0;
     Tokens waiting_all = 0;
     // Smoothed tokens a second admitted here, so that loans are asked for ahead
@@ -109,10 +110,10 @@
   };
 
   std::uint32_t EffectiveUnits(std::uint32_t page) const;
-  void Reconfigure(TimePoint now, Team& team, ShareBucket::Start start);
+  void Reconfigure(TimePoint now, Team& team, TokenBucket::Start start);
   void ReconfigurePage(TimePoint now,
                        std::uint32_t page,
-                       ShareBucket::Start start);
+                       TokenBucket::Start start);
   std::vector<std::string> OtherLenders(const std::string& name,
                                         const Team& team) const;
   void BorrowFromSelf(TimePoint now, Team& team, Tokens wanted);
--- a/source/core/quota/quota_messages.h
+++ b/source/core/quota/quota_messages.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "core/quota/purse.h"
+#include "core/quota/token_reserve.h"
 
 namespace boragepick {
 
--- a/source/core/quota/share_bucket.cc
+++ b/source/core/quota/token_bucket.cc
@@ -1,4 +1,4 @@
-#include "core/quota/share_bucket.h"
+#include "core/quota/token_bucket.h"
 
 #include <algorithm>
 #include <cmath>
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-ShareBucket::ShareBucket(TimePoint now,
+TokenBucket::TokenBucket(TimePoint now,
                          const TeamSpec& team,
                          std::uint32_t units,
                          Start start,
@@ -29,7 +29,7 @@
   m_pending = {.units = units, .counts_from = now + kLoanLifeAtLender};
 }
 
-void ShareBucket::Configure(TimePoint now,
+void TokenBucket::Configure(TimePoint now,
                             const TeamSpec& team,
                             std::uint32_t units) {
   Advance(now);
@@ -43,16 +43,16 @@
   ClampLevel();
 }
 
-double ShareBucket::CapacityExact() const {
+double TokenBucket::CapacityExact() const {
   return PartOf(m_team.burst_tokens, m_units) +
          m_early_part * PartOf(m_team.burst_tokens, YoungUnits());
 }
 
-std::uint32_t ShareBucket::YoungUnits() const {
+std::uint32_t TokenBucket::YoungUnits() const {
   return m_pending.units > m_units ? m_pending.units - m_units : 0;
 }
 
-Tokens ShareBucket::Lend(TimePoint now, const LoanId& loan, Tokens wanted) {
+Tokens TokenBucket::Lend(TimePoint now, const LoanId& loan, Tokens wanted) {
   Advance(now);
   const auto available = static_cast<Tokens>(m_level);
   const Tokens tokens = std::min(wanted, available);
@@ -66,7 +66,7 @@
   return tokens;
 }
 
-void ShareBucket::Close(TimePoint now, const LoanId& loan, Tokens unspent) {
+void TokenBucket::Close(TimePoint now, const LoanId& loan, Tokens unspent) {
   Advance(now);
   const auto found = m_loans.find(loan);
   if (found == m_loans.end())
@@ -82,18 +82,18 @@
   ClampLevel();
 }
 
-void ShareBucket::Refund(TimePoint now, Tokens tokens) {
+void TokenBucket::Refund(TimePoint now, Tokens tokens) {
   Advance(now);
   m_level += static_cast<double>(std::max<Tokens>(tokens, 0));
   ClampLevel();
 }
 
-Tokens ShareBucket::Level(TimePoint now) {
+Tokens TokenBucket::Level(TimePoint now) {
   Advance(now);
   return static_cast<Tokens>(m_level);
 }
 
-void ShareBucket::Advance(TimePoint now) {
+void TokenBucket::Advance(TimePoint now) {
   // why: what accrues is capped with the loans and the share of its own
   // instant, so each change between the last call and now is passed in its
   // order
@@ -113,7 +113,7 @@
   Accrue(now);
 }
 
-void ShareBucket::Accrue(TimePoint until) {
+void TokenBucket::Accrue(TimePoint until) {
   if (until <= m_counted_until)
     return;
   // why: the earlier holder has stopped, so what accrues now is nobody else's
@@ -124,14 +124,14 @@
   ClampLevel();
 }
 
-void ShareBucket::ForgetFirstLapsed() {
+void TokenBucket::ForgetFirstLapsed() {
   const auto loan = m_loans.find(m_lapses.begin()->second);
   m_outstanding -= loan->second.tokens;
   m_loans.erase(loan);
   m_lapses.erase(m_lapses.begin());
 }
 
-void ShareBucket::ClampLevel() {
+void TokenBucket::ClampLevel() {
   const double room = CapacityExact() - static_cast<double>(m_outstanding);
   m_level = std::clamp(m_level, 0.0, std::max(room, 0.0));
 }
--- a/source/core/quota/share_bucket.h
+++ b/source/core/quota/token_bucket.h
@@ -28,7 +28,7 @@
   auto operator<=>(const LoanId&) const = default;
 };
 
-class ShareBucket {
+class TokenBucket {
  public:
   // kFull only where nobody can have lent from the share before. A share that
   // was taken over starts empty.
@@ -39,7 +39,7 @@
   // loans and what accrues stay within burst + rate x window after the
   // take-over; with more than 0, a window that begins later may exceed it by
   // that part of the burst.
-  ShareBucket(TimePoint now,
+  TokenBucket(TimePoint now,
               const TeamSpec& team,
               std::uint32_t units,
               Start start,
--- a/source/core/quota/purse.cc
+++ b/source/core/quota/token_reserve.cc
@@ -1,16 +1,16 @@
-#include "core/quota/purse.h"
+#include "core/quota/token_reserve.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace boragepick {
 
-Tokens Purse::Available(TimePoint now) {
+Tokens TokenReserve::Available(TimePoint now) {
   DropLapsed(now);
   return m_unspent;
 }
 
-bool Purse::Spend(TimePoint now, Tokens tokens) {
+bool TokenReserve::Spend(TimePoint now, Tokens tokens) {
   DropLapsed(now);
   if (tokens > m_unspent)
     return false;
@@ -26,9 +26,9 @@
   return true;
 }
 
-PurseAsk Purse::StartAsk(TimePoint now,
-                         const std::string& lender,
-                         Tokens wanted) {
+ReserveAsk TokenReserve::StartAsk(TimePoint now,
+                                  const std::string& lender,
+                                  Tokens wanted) {
   std::erase_if(m_asks, [&](const auto& ask) {
     return now - ask.second.asked >= kLoanLife;
   });
@@ -37,10 +37,10 @@
   return {.number = number, .lender = lender, .wanted = wanted};
 }
 
-void Purse::TakeLoan(TimePoint now,
-                     const std::string& lender,
-                     std::uint64_t number,
-                     Tokens tokens) {
+void TokenReserve::TakeLoan(TimePoint now,
+                            const std::string& lender,
+                            std::uint64_t number,
+                            Tokens tokens) {
   const auto ask = m_asks.find(number);
   if (ask == m_asks.end() || ask->second.lender != lender)
     return;
@@ -56,13 +56,13 @@
   m_unspent += tokens;
 }
 
-bool Purse::IsAsking(TimePoint now, const std::string& lender) const {
+bool TokenReserve::IsAsking(TimePoint now, const std::string& lender) const {
   return std::ranges::any_of(m_asks, [&](const auto& ask) {
     return ask.second.lender == lender && now - ask.second.asked < kAskTimeout;
   });
 }
 
-Tokens Purse::Awaited(TimePoint now) const {
+Tokens TokenReserve::Awaited(TimePoint now) const {
   Tokens awaited = 0;
   for (const auto& [number, ask] : m_asks) {
     if (now - ask.asked < kAskTimeout)
@@ -71,7 +71,7 @@
   return awaited;
 }
 
-void Purse::ReturnIdle(TimePoint now, Tokens keep) {
+void TokenReserve::ReturnIdle(TimePoint now, Tokens keep) {
   DropLapsed(now);
   while (!m_loans.empty()) {
     const Loan& loan = m_loans.begin()->second;
@@ -83,11 +83,11 @@
   }
 }
 
-std::vector<ClosedLoan> Purse::TakeClosed() {
+std::vector<ClosedLoan> TokenReserve::TakeClosed() {
   return std::exchange(m_closed, {});
 }
 
-void Purse::DropLapsed(TimePoint now) {
+void TokenReserve::DropLapsed(TimePoint now) {
   while (!m_loans.empty() && m_loans.begin()->first <= now) {
     m_unspent -= m_loans.begin()->second.unspent;
     m_loans.begin()->second.unspent = 0;
@@ -95,7 +95,7 @@
   }
 }
 
-void Purse::CloseFront() {
+void TokenReserve::CloseFront() {
   const Loan& loan = m_loans.begin()->second;
   m_closed.push_back(
       {.lender = loan.lender, .number = loan.number, .unspent = loan.unspent});
--- a/source/core/quota/purse.h
+++ b/source/core/quota/token_reserve.h
@@ -9,12 +9,12 @@
 #include <vector>
 
 #include "common/time.h"
-#include "core/quota/share_bucket.h"
+#include "core/quota/token_bucket.h"
 
 namespace boragepick {
 
 // A question to one holder; `number` identifies the loan that answers it.
-struct PurseAsk {
+struct ReserveAsk {
   std::uint64_t number = 0;
   std::string lender;
   Tokens wanted = 0;
@@ -26,7 +26,7 @@
   Tokens unspent = 0;
 };
 
-class Purse {
+class TokenReserve {
  public:
   // Unspent tokens that have not lapsed.
   Tokens Available(TimePoint now);
@@ -36,7 +36,7 @@
 
   // Records a question about to be sent; the loan lapses kLoanLife after this
   // instant.
-  PurseAsk StartAsk(TimePoint now, const std::string& lender, Tokens wanted);
+  ReserveAsk StartAsk(TimePoint now, const std::string& lender, Tokens wanted);
 
   // The answer to an ask; one that comes twice, too late or unasked adds
   // nothing.
--- a/source/core/router/operator_desk.cc
+++ b/source/core/router/operator_api.cc
@@ -1,4 +1,4 @@
-#include "core/router/operator_desk.h"
+#include "core/router/operator_api.h"
 
 #include <algorithm>
 #include <stdexcept>
@@ -35,11 +35,11 @@
   return *row;
 }
 
-void OperatorDesk::Reply(std::uint64_t id, OperatorReply reply) {
+void OperatorApi::Reply(std::uint64_t id, OperatorReply reply) {
   m_state.Emit(OperatorAnswered{.id = id, .reply = std::move(reply)});
 }
 
-void OperatorDesk::Ask(TimePoint now, const OperatorRequest& request) {
+void OperatorApi::Ask(TimePoint now, const OperatorRequest& request) {
   const bool needs_view = !std::holds_alternative<GetStatus>(request.action) &&
                           !std::holds_alternative<GetMetrics>(request.action);
   if (needs_view && !m_state.feed.HasView()) {
@@ -52,9 +52,9 @@
              request.action);
 }
 
-void OperatorDesk::Do(TimePoint /*now*/,
-                      const OperatorRequest& request,
-                      const GetResources& action) {
+void OperatorApi::Do(TimePoint /*now*/,
+                     const OperatorRequest& request,
+                     const GetResources& action) {
   ResourceList list;
   for (const auto& [name, resource] : m_state.view.All(action.kind)) {
     if (action.name.empty() || action.name == name)
@@ -73,9 +73,9 @@
   Reply(request.id, std::move(list));
 }
 
-void OperatorDesk::Do(TimePoint now,
-                      const OperatorRequest& request,
-                      const PutResource& action) {
+void OperatorApi::Do(TimePoint now,
+                     const OperatorRequest& request,
+                     const PutResource& action) {
   const ResourceKind kind = KindOf(action.resource.spec);
   try {
     ValidateResource(action.resource);
@@ -111,9 +111,9 @@
   StartWrite(now, std::move(write));
 }
 
-void OperatorDesk::Do(TimePoint now,
-                      const OperatorRequest& request,
-                      const DeleteResource& action) {
+void OperatorApi::Do(TimePoint now,
+                     const OperatorRequest& request,
+                     const DeleteResource& action) {
   const Resource* stored = m_state.view.Find(action.kind, action.name);
   if (stored == nullptr) {
     Reply(request.id,
@@ -145,14 +145,14 @@
                    .name = action.name});
 }
 
-void OperatorDesk::StartWrite(TimePoint now, OpenWrite write) {
+void OperatorApi::StartWrite(TimePoint now, OpenWrite write) {
   write.give_up = now + kPatience;
   const std::uint64_t call = m_state.NextCall();
   const OpenWrite& open = m_writes[call] = std::move(write);
   SendWrite(call, open);
 }
 
-void OperatorDesk::SendWrite(std::uint64_t call, const OpenWrite& write) {
+void OperatorApi::SendWrite(std::uint64_t call, const OpenWrite& write) {
   if (write.deletion) {
     m_state.Emit(DeleteRecord{.call = call,
                               .base = write.base,
@@ -164,12 +164,12 @@
       WriteRecord{.call = call, .base = write.base, .record = write.resource});
 }
 
-void OperatorDesk::SendRead(std::uint64_t call, const OpenWrite& write) {
+void OperatorApi::SendRead(std::uint64_t call, const OpenWrite& write) {
   m_state.Emit(
       ReadResource{.call = call, .kind = write.kind, .name = write.name});
 }
 
-bool OperatorDesk::Written(TimePoint now, const RecordWritten& written) {
+bool OperatorApi::Written(TimePoint now, const RecordWritten& written) {
   const auto found = m_writes.find(written.call);
   if (found == m_writes.end())
     return false;
@@ -182,7 +182,7 @@
   return true;
 }
 
-bool OperatorDesk::Read(TimePoint now, const ResourceRead& read) {
+bool OperatorApi::Read(TimePoint now, const ResourceRead& read) {
   const auto found = m_writes.find(read.call);
   if (found == m_writes.end())
     return false;
@@ -206,7 +206,7 @@
   return true;
 }
 
-void OperatorDesk::Accept(std::uint64_t call, Revision revision) {
+void OperatorApi::Accept(std::uint64_t call, Revision revision) {
   const OpenWrite& write = m_writes.at(call);
   Reply(write.operator_id, Accepted{.kind = write.kind,
                                     .name = write.name,
@@ -214,15 +214,15 @@
   m_writes.erase(call);
 }
 
-void OperatorDesk::Fail(std::uint64_t call,
-                        OperatorErrorCode code,
-                        const std::string& message) {
+void OperatorApi::Fail(std::uint64_t call,
+                       OperatorErrorCode code,
+                       const std::string& message) {
   Reply(m_writes.at(call).operator_id,
         OperatorError{.code = code, .message = message});
   m_writes.erase(call);
 }
 
-void OperatorDesk::Tick(TimePoint now) {
+void OperatorApi::Tick(TimePoint now) {
   std::vector<std::uint64_t> late;
   for (auto& [call, write] : m_writes) {
     if (now >= write.give_up) {
@@ -239,7 +239,7 @@
   }
 }
 
-std::vector<std::string> OperatorDesk::ConditionsOf(
+std::vector<std::string> OperatorApi::ConditionsOf(
     const Resource& resource) const {
   std::vector<std::string> conditions;
   const FeedNode::InForce& behind = m_state.feed.in_force_at_relay();
@@ -269,19 +269,19 @@
   return conditions;
 }
 
-void OperatorDesk::Do(TimePoint now,
-                      const OperatorRequest& request,
-                      const GetStatus& /*action*/) {
+void OperatorApi::Do(TimePoint now,
+                     const OperatorRequest& request,
+                     const GetStatus& /*action*/) {
   Reply(request.id, MakeStatus(now));
 }
 
-void OperatorDesk::Do(TimePoint now,
-                      const OperatorRequest& request,
-                      const GetMetrics& /*action*/) {
+void OperatorApi::Do(TimePoint now,
+                     const OperatorRequest& request,
+                     const GetMetrics& /*action*/) {
   Reply(request.id, MakeMetrics(now));
 }
 
-StatusReport OperatorDesk::MakeStatus(TimePoint now) const {
+StatusReport OperatorApi::MakeStatus(TimePoint now) const {
   StatusReport report{.vm = m_state.options.vm,
                       .data_centre = m_state.options.data_centre,
                       .incarnation = m_state.options.incarnation,
@@ -291,7 +291,7 @@
                       .relay = m_state.feed.relay(),
                       .roster_version = m_state.roster.version(),
                       .routers = m_state.roster.LiveRouters().size(),
-                      .open_requests = m_flights.OpenRequests()};
+                      .open_requests = m_pending.OpenRequests()};
   if (m_state.feed.HasView())
     report.view_age = m_state.feed.Age(now);
   const FeedNode::InForce behind = m_state.feed.watching()
@@ -315,10 +315,10 @@
     }
     report.models.push_back(std::move(status));
   }
-  const FlightMetrics& metrics = m_flights.metrics();
+  const SchedulerMetrics& metrics = m_pending.metrics();
   for (const auto& [name, resource] : m_state.view.All(ResourceKind::kTeam)) {
     TeamStatus status{.team = name,
-                      .waiting_requests = m_flights.WaitingOf(name),
+                      .waiting_requests = m_pending.WaitingOf(name),
                       .share_tokens_per_second = m_state.quota.ShareOf(name)};
     if (const auto it = metrics.admitted_tokens_by_team.find(name);
         it != metrics.admitted_tokens_by_team.end())
@@ -331,7 +331,7 @@
   return report;
 }
 
-MetricsReport OperatorDesk::MakeMetrics(TimePoint now) const {
+MetricsReport OperatorApi::MakeMetrics(TimePoint now) const {
   MetricsReport report;
   const auto add = [&](const std::string& name, const std::string& labels,
                        double value) {
@@ -348,7 +348,7 @@
     add(name + "_sum", "", summary.Sum());
     add(name + "_count", "", static_cast<double>(summary.Count()));
   };
-  const FlightMetrics& metrics = m_flights.metrics();
+  const SchedulerMetrics& metrics = m_pending.metrics();
   add("requests_total", "", static_cast<double>(metrics.requests));
   add("answered_total", "", static_cast<double>(metrics.answered));
   add("retries_total", "", static_cast<double>(metrics.retries));
@@ -363,7 +363,7 @@
   add_summary("first_token_warm_seconds", metrics.first_token_warm);
   add_summary("first_token_cold_seconds", metrics.first_token_cold);
   add_summary("token_wait_seconds", metrics.token_wait);
-  add("open_requests", "", static_cast<double>(m_flights.OpenRequests()));
+  add("open_requests", "", static_cast<double>(m_pending.OpenRequests()));
   add("feed_revision", "", static_cast<double>(m_state.feed.revision()));
   if (m_state.feed.HasView())
     add("feed_age_seconds", "", ToSeconds(m_state.feed.Age(now)));
--- a/source/core/router/operator_desk.h
+++ b/source/core/router/operator_api.h
@@ -10,23 +10,23 @@
 #include "common/time.h"
 #include "core/operator_messages.h"
 #include "core/router/agent_table.h"
-#include "core/router/flight_desk.h"
+#include "core/router/request_scheduler.h"
 #include "core/router/router_state.h"
 
 namespace boragepick {
 
-class OperatorDesk {
+class OperatorApi {
  public:
   // An operator is answered within so long.
   static constexpr Duration kPatience = std::chrono::seconds(5);
 
-  OperatorDesk(RouterState& state,
-               const AgentTable& agents,
-               const FlightDesk& flights)
-      : m_state(state), m_agents(agents), m_flights(flights) {}
+  OperatorApi(RouterState& state,
+              const AgentTable& agents,
+              const RequestScheduler& requests)
+      : m_state(state), m_agents(agents), m_pending(requests) {}
 
   void Ask(TimePoint now, const OperatorRequest& request);
-  // The answers to calls of this desk; false when the call is not of this desk.
+  // The answers to calls that this part made; false for others.
   bool Written(TimePoint now, const RecordWritten& written);
   bool Read(TimePoint now, const ResourceRead& read);
   void Tick(TimePoint now);
@@ -76,7 +76,7 @@
 
   RouterState& m_state;
   const AgentTable& m_agents;
-  const FlightDesk& m_flights;
+  const RequestScheduler& m_pending;
   std::map<std::uint64_t, OpenWrite> m_writes;
 };
 
--- a/source/core/router/flight.h
+++ b/source/core/router/pending_request.h
@@ -15,7 +15,7 @@
 
 namespace boragepick {
 
-enum class FlightStage {
+enum class RequestStage {
   kWaitingTokens,   // for the team's rate
   kClaiming,        // for the right to run a request that may not be repeated
   kWaitingAgent,    // for an agent that may serve it
@@ -24,17 +24,17 @@
                     // told
 };
 
-inline constexpr EnumTable kFlightStageNames{std::array{
-    EnumName<FlightStage>{FlightStage::kWaitingTokens, "waiting_tokens"},
-    EnumName<FlightStage>{FlightStage::kClaiming, "claiming"},
-    EnumName<FlightStage>{FlightStage::kWaitingAgent, "waiting_agent"},
-    EnumName<FlightStage>{FlightStage::kRunning, "running"},
-    EnumName<FlightStage>{FlightStage::kStoringOutcome, "storing_outcome"},
+inline constexpr EnumTable kRequestStageNames{std::array{
+    EnumName<RequestStage>{RequestStage::kWaitingTokens, "waiting_tokens"},
+    EnumName<RequestStage>{RequestStage::kClaiming, "claiming"},
+    EnumName<RequestStage>{RequestStage::kWaitingAgent, "waiting_agent"},
+    EnumName<RequestStage>{RequestStage::kRunning, "running"},
+    EnumName<RequestStage>{RequestStage::kStoringOutcome, "storing_outcome"},
 }};
 
-struct Flight {
+struct PendingRequest {
   CallerRequest request;
-  FlightStage stage = FlightStage::kWaitingTokens;
+  RequestStage stage = RequestStage::kWaitingTokens;
   TimePoint arrived;
   TimePoint deadline;
   // Empty on an open route without a key.
--- /dev/null
+++ b/source/core/router/request_scheduler.cc
@@ -0,0 +1,414 @@
+#include "core/router/request_scheduler.h"
+
+#include <algorithm>
+
+#include "common/hashing.h"
+
+namespace boragepick {
+
+namespace {
+
+constexpr Tokens kServiceCallTokens = 1;
+// Enough to work out an answer, so that a request is refused before its
+// deadline, not after.
+constexpr Duration kDeadlineMargin = std::chrono::milliseconds(20);
+
+bool IsReadOnly(Method method) {
+  return method == Method::kGet || method == Method::kHead;
+}
+
+double Seconds(TimePoint from, TimePoint to) {
+  return ToSeconds(to - from);
+}
+
+}  // namespace
+
+// --- Arrival
+// --------------------------------------------------------------------------------------
+
+void RequestScheduler::Arrive(TimePoint now, CallerRequest request) {
+  ++m_metrics.requests;
+  m_retry_budget.FirstRequest();
+  const RequestId id = request.id;
+  PendingRequest& pending = m_pending[id];
+  pending.request = std::move(request);
+  pending.arrived = now;
+  pending.deadline = now + pending.request.patience;
+  m_deadlines.emplace(pending.deadline, id);
+  Refusal refusal;
+  const bool accepted = Identify(pending, refusal) &&
+                        ResolveTarget(now, pending, refusal) &&
+                        CheckCost(pending, refusal);
+  if (!accepted) {
+    Refuse(now, pending, std::move(refusal));
+    return;
+  }
+  WaitForTokens(now, pending);
+}
+
+bool RequestScheduler::Identify(PendingRequest& pending,
+                                Refusal& refusal) const {
+  const CallerRequest& request = pending.request;
+  if (!m_state.feed.HasView()) {
+    refusal = {.code = RefusalCode::kConfigurationMissing,
+               .message = "this router has no configuration yet",
+               .retry_after = std::chrono::seconds(1)};
+    return false;
+  }
+  const RouteSpec* route = m_state.view.RouteFor(request.path);
+  if (route == nullptr) {
+    refusal = {.code = RefusalCode::kRouteUnknown,
+               .message = "no route has this path"};
+    return false;
+  }
+  if (!request.key_sha256.empty()) {
+    const std::optional<std::string> team =
+        m_state.view.TeamOfKey(request.key_sha256);
+    if (!team && !route->open) {
+      refusal = {.code = RefusalCode::kKeyUnknown,
+                 .message = "the key is unknown or withdrawn"};
+      return false;
+    }
+    pending.team = team.value_or("");
+  }
+  if (route->open)
+    return true;
+  if (request.key_sha256.empty()) {
+    refusal = {.code = RefusalCode::kKeyMissing,
+               .message = "expected the header 'Authorization: Bearer KEY'"};
+    return false;
+  }
+  const bool allowed =
+      route->teams.empty() ||
+      std::ranges::find(route->teams, pending.team) != route->teams.end();
+  if (!allowed) {
+    refusal = {.code = RefusalCode::kRouteForbidden,
+               .message = "the route is not open to the key's team"};
+  }
+  return allowed;
+}
+
+bool RequestScheduler::ResolveTarget(TimePoint now,
+                                     PendingRequest& pending,
+                                     Refusal& refusal) {
+  const CallerRequest& request = pending.request;
+  const RouteSpec& route = *m_state.view.RouteFor(request.path);
+  pending.fingerprint =
+      StableHash(request.body, StableHash(pending.team + '\n' + request.path));
+  if (m_quarantine.Judge(now, pending.fingerprint) ==
+      QuarantineVerdict::kConvicted) {
+    refusal = {
+        .code = RefusalCode::kPoisoned,
+        .message =
+            "this request has crashed two upstreams and is not run again"};
+    return false;
+  }
+  if (route.target == RouteTarget::kService) {
+    pending.pool = route.pool;
+    pending.cost = kServiceCallTokens;
+    pending.repeatable = route.idempotent || IsReadOnly(request.method);
+    if (pending.repeatable || !request.idempotency_key.empty())
+      return true;
+    refusal = {
+        .code = RefusalCode::kIdempotencyKeyMissing,
+        .message =
+            "calls of this route must not be repeated: expected the header "
+            "'Idempotency-Key'"};
+    return false;
+  }
+  pending.repeatable = true;
+  pending.cost =
+      std::max<Tokens>(request.prompt_tokens + request.max_tokens, 1);
+  const std::optional<ServedModel> served = m_state.view.Resolve(request.model);
+  if (!served) {
+    refusal = {.code = RefusalCode::kModelUnknown,
+               .message = "there is no model or adapter of that name"};
+    return false;
+  }
+  pending.served = *served;
+  return true;
+}
+
+bool RequestScheduler::CheckCost(const PendingRequest& pending,
+                                 Refusal& refusal) const {
+  if (pending.team.empty())
+    return true;
+  const auto* team =
+      m_state.view.FindSpec<TeamSpec>(ResourceKind::kTeam, pending.team);
+  if (team == nullptr) {
+    refusal = {.code = RefusalCode::kKeyUnknown,
+               .message = "the key's team does not exist"};
+    return false;
+  }
+  if (pending.cost <= team->burst_tokens)
+    return true;
+  refusal = {.code = RefusalCode::kOverBurst,
+             .message = "the request may need " + std::to_string(pending.cost) +
+                        " tokens; the team's burst is " +
+                        std::to_string(team->burst_tokens)};
+  return false;
+}
+
+// --- Tokens
+// ---------------------------------------------------------------------------------------
+
+void RequestScheduler::WaitForTokens(TimePoint now, PendingRequest& pending) {
+  if (pending.team.empty()) {
+    Admitted(now, pending);
+    return;
+  }
+  std::deque<RequestId>& queue = m_token_queues[pending.team];
+  const std::string team = pending.team;
+  queue.push_back(pending.request.id);
+  ++m_waiting_tokens;
+  PumpTeam(now, team, queue);
+}
+
+void RequestScheduler::PumpTeam(TimePoint now,
+                                const std::string& team,
+                                std::deque<RequestId>& queue) {
+  while (!queue.empty()) {
+    PendingRequest* pending = Find(queue.front());
+    const bool waits =
+        pending != nullptr && pending->stage == RequestStage::kWaitingTokens;
+    if (waits && !m_state.quota.Admit(now, team, pending->cost))
+      break;
+    queue.pop_front();
+    --m_waiting_tokens;
+    if (!waits)
+      continue;
+    pending->cost_taken = true;
+    m_metrics.admitted_tokens_by_team[team] +=
+        static_cast<std::uint64_t>(pending->cost);
+    m_metrics.token_wait.Add(Seconds(pending->arrived, now));
+    Admitted(now, *pending);
+  }
+  ShowWaiting(team);
+}
+
+void RequestScheduler::ShowWaiting(const std::string& team) {
+  Tokens first = 0;
+  Tokens all = 0;
+  for (const RequestId id : m_token_queues[team]) {
+    const PendingRequest* pending = Find(id);
+    if (pending == nullptr || pending->stage != RequestStage::kWaitingTokens)
+      continue;
+    if (first == 0)
+      first = pending->cost;
+    all += pending->cost;
+  }
+  m_state.quota.SetWaiting(team, first, all);
+}
+
+std::size_t RequestScheduler::WaitingOf(const std::string& team) const {
+  const auto queue = m_token_queues.find(team);
+  return queue == m_token_queues.end() ? 0 : queue->second.size();
+}
+
+void RequestScheduler::Admitted(TimePoint now, PendingRequest& pending) {
+  if (pending.repeatable)
+    Dispatch(now, pending);
+  else
+    StartClaim(now, pending);
+}
+
+void RequestScheduler::Pump(TimePoint now) {
+  for (auto& [team, queue] : m_token_queues) {
+    if (!queue.empty())
+      PumpTeam(now, team, queue);
+  }
+  std::vector<RequestId> ready;
+  for (const auto& [id, not_before] : m_waiting_agent) {
+    if (not_before <= now)
+      ready.push_back(id);
+  }
+  for (const RequestId id : ready) {
+    m_waiting_agent.erase(id);
+    if (PendingRequest* pending = Find(id))
+      Dispatch(now, *pending);
+  }
+}
+
+// --- Endings
+// --------------------------------------------------------------------------------------
+
+Ran RequestScheduler::RanOf(const PendingRequest& pending) const {
+  return pending.may_have_run ? Ran::kUnknown : Ran::kNotRun;
+}
+
+void RequestScheduler::Refuse(TimePoint now,
+                              PendingRequest& pending,
+                              Refusal refusal) {
+  ++m_metrics.refused[refusal.code];
+  if (!pending.team.empty())
+    ++m_metrics.refused_by_team[pending.team];
+  m_state.Log(LogEvent::kRequestRefused,
+              {{"request", std::to_string(pending.request.id)},
+               {"team", pending.team},
+               {"code", std::string(RefusalInfo(refusal.code).name)},
+               {"ran", std::string(kRanNames.Name(refusal.ran))},
+               {"stage", std::string(kRequestStageNames.Name(pending.stage))}});
+  if (pending.cost_taken && !pending.may_have_run)
+    m_state.quota.Settle(pending.team, pending.cost);
+  m_state.Emit(CallerRefused{.id = pending.request.id,
+                             .refusal = std::move(refusal),
+                             .midway = pending.head_sent});
+  Abandon(now, pending);
+}
+
+void RequestScheduler::Abandon(TimePoint now, PendingRequest& pending) {
+  pending.abandoned = true;
+  const bool dispatched = pending.stage == RequestStage::kRunning;
+  const bool once = !pending.repeatable && pending.claim_token != 0;
+  if (dispatched && !once)
+    CancelAttempt(pending);
+  // why: what was granted and started is followed to its end, so that a retry
+  // gets its answer
+  if (once && pending.granted &&
+      (dispatched || pending.stage == RequestStage::kStoringOutcome))
+    return;
+  if (once) {
+    SendOutcome(
+        now, pending,
+        pending.may_have_run ? OnceResult::kUnknown : OnceResult::kNotRun);
+    return;
+  }
+  Forget(pending);
+}
+
+void RequestScheduler::CallerLeft(TimePoint now, RequestId id) {
+  PendingRequest* pending = Find(id);
+  if (pending == nullptr || pending->abandoned)
+    return;
+  if (pending->cost_taken && !pending->may_have_run &&
+      pending->stage != RequestStage::kRunning)
+    m_state.quota.Settle(pending->team, pending->cost);
+  Abandon(now, *pending);
+}
+
+void RequestScheduler::AnswerWhole(TimePoint now, PendingRequest& pending) {
+  if (pending.abandoned)
+    return;
+  if (!pending.head_sent) {
+    m_state.Emit(CallerHead{
+        .id = pending.request.id, .head = pending.head, .stream = false});
+    m_state.Emit(CallerBytes{.id = pending.request.id,
+                             .bytes = std::move(pending.body)});
+  }
+  m_state.Emit(CallerEnd{.id = pending.request.id});
+  ++m_metrics.answered;
+  const TimePoint first =
+      pending.first_byte == kNever ? now : pending.first_byte;
+  Summary& summary =
+      pending.cold ? m_metrics.first_token_cold : m_metrics.first_token_warm;
+  summary.Add(Seconds(pending.arrived, first));
+  m_state.Log(LogEvent::kRequestFinished,
+              {{"request", std::to_string(pending.request.id)},
+               {"agent", pending.agent_vm},
+               {"attempts", std::to_string(pending.attempt)},
+               {"tokens", std::to_string(pending.events.tokens())},
+               {"cold", pending.cold ? "true" : "false"},
+               {"seconds", std::to_string(Seconds(pending.arrived, now))}});
+}
+
+void RequestScheduler::Finish(TimePoint now, PendingRequest& pending) {
+  m_metrics.tokens += pending.events.tokens();
+  if (pending.cost_taken && pending.request.stream) {
+    const Tokens used = pending.request.prompt_tokens +
+                        static_cast<Tokens>(pending.events.tokens());
+    m_state.quota.Settle(pending.team,
+                         std::max<Tokens>(pending.cost - used, 0));
+  }
+  AnswerWhole(now, pending);
+  Forget(pending);
+}
+
+void RequestScheduler::Forget(PendingRequest& pending) {
+  if (pending.trial != 0) {
+    AskForTrial(pending, true);
+    m_trials.erase(pending.trial);
+  }
+  m_waiting_agent.erase(pending.request.id);
+  m_claims.erase(pending.claim_token);
+  m_deadlines.erase({pending.deadline, pending.request.id});
+  m_pending.erase(pending.request.id);
+}
+
+void RequestScheduler::CheckKeys(TimePoint now) {
+  std::vector<RequestId> withdrawn;
+  for (const auto& [id, pending] : m_pending) {
+    if (pending.team.empty() || pending.abandoned)
+      continue;
+    if (m_state.view.TeamOfKey(pending.request.key_sha256) != pending.team)
+      withdrawn.push_back(id);
+  }
+  for (const RequestId id : withdrawn) {
+    PendingRequest& pending = *Find(id);
+    const bool started = pending.stage == RequestStage::kRunning;
+    Refuse(now, pending,
+           {.code = RefusalCode::kKeyWithdrawn,
+            .ran = started ? Ran::kUnknown : RanOf(pending),
+            .message = "the key was withdrawn"});
+  }
+}
+
+void RequestScheduler::Expire(TimePoint now, PendingRequest& pending) {
+  if (pending.abandoned) {
+    Forget(pending);
+    return;
+  }
+  switch (pending.stage) {
+    case RequestStage::kWaitingTokens:
+      Refuse(now, pending,
+             {.code = RefusalCode::kRateLimited,
+              .message = "the team's rate did not allow it before its deadline",
+              .retry_after = std::chrono::seconds(1)});
+      return;
+    case RequestStage::kClaiming:
+      Refuse(now, pending,
+             {.code = RefusalCode::kOnceOutcomeUnknown,
+              .ran = Ran::kUnknown,
+              .message =
+                  "it is not known whether a request with this key has run"});
+      return;
+    case RequestStage::kWaitingAgent:
+      Refuse(now, pending,
+             {.code = RefusalCode::kNoCapacity,
+              .ran = RanOf(pending),
+              .message = "no agent could take it before its deadline",
+              .retry_after = std::chrono::seconds(1)});
+      return;
+    case RequestStage::kRunning:
+    case RequestStage::kStoringOutcome:
+      Refuse(now, pending,
+             {.code = RefusalCode::kDeadline,
+              .ran = Ran::kUnknown,
+              .message = "the answer was not whole by the deadline"});
+      return;
+  }
+}
+
+void RequestScheduler::Tick(TimePoint now) {
+  const TimePoint horizon = now + kDeadlineMargin;
+  while (!m_deadlines.empty() && m_deadlines.begin()->first <= horizon) {
+    const RequestId id = m_deadlines.begin()->second;
+    m_deadlines.erase(m_deadlines.begin());
+    PendingRequest* pending = Find(id);
+    if (pending == nullptr)
+      continue;
+    // why: an outcome may still have to be stored; it is given up some time
+    // after the deadline
+    pending->deadline = now + std::chrono::seconds(30);
+    m_deadlines.emplace(pending->deadline, id);
+    Expire(now, *pending);
+  }
+  CheckProgress(now);
+  Pump(now);
+}
+
+PendingRequest* RequestScheduler::Find(RequestId id) {
+  const auto found = m_pending.find(id);
+  return found == m_pending.end() ? nullptr : &found->second;
+}
+
+}  // namespace boragepick
--- a/source/core/router/flight_desk.h
+++ b/source/core/router/request_scheduler.h
@@ -14,16 +14,16 @@
 
 #include "common/summary.h"
 #include "core/router/agent_table.h"
-#include "core/router/flight.h"
+#include "core/router/pending_request.h"
 #include "core/router/router_state.h"
 #include "core/routing/choice.h"
-#include "core/routing/poison_book.h"
+#include "core/routing/quarantine.h"
 #include "core/routing/retry_budget.h"
 
 namespace boragepick {
 
 // Counters and summaries of one router; seconds where a unit is needed.
-struct FlightMetrics {
+struct SchedulerMetrics {
   std::uint64_t requests = 0;
   std::uint64_t answered = 0;
   std::map<RefusalCode, std::uint64_t> refused;
@@ -36,7 +36,7 @@
   Summary token_wait;
 };
 
-class FlightDesk {
+class RequestScheduler {
  public:
   // An agent says at least so often that an attempt is in its hands.
   static constexpr Duration kSilence = std::chrono::seconds(3);
@@ -54,7 +54,7 @@
   // A whole answer that is not streamed may be so large, in bytes.
   static constexpr std::size_t kMaxBodyBytes = 8 << 20;
 
-  FlightDesk(RouterState& state, AgentTable& agents)
+  RequestScheduler(RouterState& state, AgentTable& agents)
       : m_state(state), m_agents(agents) {}
 
   void Arrive(TimePoint now, CallerRequest request);
@@ -68,7 +68,7 @@
   void Take(TimePoint now, const OnceOutcomeStored& stored);
   void Take(TimePoint now, const SlotGrant& grant);
   void Take(TimePoint now, const CrashNotice& notice) {
-    m_poison.Take(now, notice);
+    m_quarantine.Take(now, notice);
   }
 
   // Tokens may have come, or an agent may have become usable.
@@ -77,71 +77,81 @@
   void CheckKeys(TimePoint now);
   void Tick(TimePoint now);
 
-  std::size_t OpenRequests() const { return m_flights.size(); }
+  std::size_t OpenRequests() const { return m_pending.size(); }
   std::size_t WaitingOf(const std::string& team) const;
   // Whether tokens, claims or agents are waited for, so that the next tick
   // comes soon.
   bool Waiting() const {
     return m_waiting_tokens > 0 || !m_waiting_agent.empty();
   }
-  const FlightMetrics& metrics() const { return m_metrics; }
+  const SchedulerMetrics& metrics() const { return m_metrics; }
 
  private:
   // Arrival.
-  bool Identify(Flight& flight, Refusal& refusal) const;
-  bool ResolveTarget(TimePoint now, Flight& flight, Refusal& refusal);
-  bool CheckCost(const Flight& flight, Refusal& refusal) const;
-  void WaitForTokens(TimePoint now, Flight& flight);
-  void Admitted(TimePoint now, Flight& flight);
+  bool Identify(PendingRequest& pending, Refusal& refusal) const;
+  bool ResolveTarget(TimePoint now, PendingRequest& pending, Refusal& refusal);
+  bool CheckCost(const PendingRequest& pending, Refusal& refusal) const;
+  void WaitForTokens(TimePoint now, PendingRequest& pending);
+  void Admitted(TimePoint now, PendingRequest& pending);
   void PumpTeam(TimePoint now,
                 const std::string& team,
                 std::deque<RequestId>& queue);
   void ShowWaiting(const std::string& team);
 
   // Once-claims.
-  void StartClaim(TimePoint now, Flight& flight);
-  void SendClaim(TimePoint now, Flight& flight);
-  void SendOutcome(TimePoint now, Flight& flight, OnceResult result);
-  void SendOutcomeAgain(TimePoint now, Flight& flight);
-  void Granted(TimePoint now, Flight& flight);
-  void Redirected(TimePoint now, Flight& flight, const std::string& owner);
-  void AnswerKept(TimePoint now, Flight& flight, const KeptAnswer& answer);
-  std::string ClaimOwner(const Flight& flight) const;
+  void StartClaim(TimePoint now, PendingRequest& pending);
+  void SendClaim(TimePoint now, PendingRequest& pending);
+  void SendOutcome(TimePoint now, PendingRequest& pending, OnceResult result);
+  void SendOutcomeAgain(TimePoint now, PendingRequest& pending);
+  void Granted(TimePoint now, PendingRequest& pending);
+  void Redirected(TimePoint now,
+                  PendingRequest& pending,
+                  const std::string& owner);
+  void AnswerKept(TimePoint now,
+                  PendingRequest& pending,
+                  const KeptAnswer& answer);
+  std::string ClaimOwner(const PendingRequest& pending) const;
 
   // Attempts.
-  void Dispatch(TimePoint now, Flight& flight);
-  void SendRun(TimePoint now, Flight& flight);
-  bool MayRunSuspect(TimePoint now, Flight& flight);
-  void AskForTrial(Flight& flight, bool done);
-  void AttemptNotRun(TimePoint now, Flight& flight, const std::string& why);
-  void AttemptLost(TimePoint now, Flight& flight, const std::string& why);
-  void AttemptWhole(TimePoint now, Flight& flight);
-  void TakeCrash(TimePoint now, Flight& flight, const std::string& crash);
-  void CancelAttempt(Flight& flight);
-  void WaitForAgent(TimePoint now, Flight& flight, TimePoint until);
-  void CheckSilence(TimePoint now, Flight& flight);
+  void Dispatch(TimePoint now, PendingRequest& pending);
+  void SendRun(TimePoint now, PendingRequest& pending);
+  bool MayRunSuspect(TimePoint now, PendingRequest& pending);
+  void AskForTrial(PendingRequest& pending, bool done);
+  void AttemptNotRun(TimePoint now,
+                     PendingRequest& pending,
+                     const std::string& why);
+  void AttemptLost(TimePoint now,
+                   PendingRequest& pending,
+                   const std::string& why);
+  void AttemptWhole(TimePoint now, PendingRequest& pending);
+  void TakeCrash(TimePoint now,
+                 PendingRequest& pending,
+                 const std::string& crash);
+  void CancelAttempt(PendingRequest& pending);
+  void WaitForAgent(TimePoint now, PendingRequest& pending, TimePoint until);
+  void CheckSilence(TimePoint now, PendingRequest& pending);
   void CheckProgress(TimePoint now);
 
   // Endings.
-  void Refuse(TimePoint now, Flight& flight, Refusal refusal);
-  void Finish(TimePoint now, Flight& flight);
-  void AnswerWhole(TimePoint now, Flight& flight);
-  void Forget(Flight& flight);
-  void Expire(TimePoint now, Flight& flight);
-  void Abandon(TimePoint now, Flight& flight);
-  Ran RanOf(const Flight& flight) const;
-
-  Flight* FindAttempt(const PeerSender& from, const AttemptId& id);
-  Flight* Find(RequestId id);
-  Flight* FindClaim(std::uint64_t token);
+  void Refuse(TimePoint now, PendingRequest& pending, Refusal refusal);
+  void Finish(TimePoint now, PendingRequest& pending);
+  void AnswerWhole(TimePoint now, PendingRequest& pending);
+  void Forget(PendingRequest& pending);
+  void Expire(TimePoint now, PendingRequest& pending);
+  void Abandon(TimePoint now, PendingRequest& pending);
+  Ran RanOf(const PendingRequest& pending) const;
+
+  PendingRequest* FindAttempt(const PeerSender& from, const AttemptId& id);
+  PendingRequest* Find(RequestId id);
+  PendingRequest* FindClaim(std::uint64_t token);
 
   RouterState& m_state;
   AgentTable& m_agents;
   AffinityOfTwo m_policy;
-  PoisonBook m_poison;
+  Quarantine m_quarantine;
   RetryBudget m_retry_budget;
-  FlightMetrics m_metrics;
-  std::unordered_map<RequestId, Flight> m_flights;
+  SchedulerMetrics m_metrics;
+  std::unordered_map<RequestId, PendingRequest> m_pending;
   std::map<std::uint64_t, RequestId> m_claims;
   std::uint64_t m_last_token = 0;
   std::map<std::uint64_t, RequestId> m_trials;
--- a/source/core/router/router.cc
+++ b/source/core/router/router.cc
@@ -26,8 +26,8 @@
 
 Router::Router(const RouterOptions& options)
     : m_state(options),
-      m_flights(m_state, m_agents),
-      m_operators(m_state, m_agents, m_flights),
+      m_pending(m_state, m_agents),
+      m_operators(m_state, m_agents, m_pending),
       m_planner(m_state, m_agents) {}
 
 std::vector<RouterEffect> Router::Handle(TimePoint now, RouterEvent event) {
@@ -39,16 +39,16 @@
 }
 
 TimePoint Router::NextTick(TimePoint now) const {
-  const bool busy = m_flights.Waiting() || m_operators.Busy();
+  const bool busy = m_pending.Waiting() || m_operators.Busy();
   return now + (busy ? kBusyTick : kIdleTick);
 }
 
 void Router::On(TimePoint now, CallerArrived event) {
-  m_flights.Arrive(now, std::move(event.request));
+  m_pending.Arrive(now, std::move(event.request));
 }
 
 void Router::On(TimePoint now, const CallerGone& event) {
-  m_flights.CallerLeft(now, event.id);
+  m_pending.CallerLeft(now, event.id);
 }
 
 void Router::On(TimePoint now, const OperatorAsked& event) {
@@ -61,7 +61,7 @@
     m_state.quota.PageWritten(now, event.outcome, event.revision);
     if (event.outcome == WriteOutcome::kConflict)
       m_state.Log(LogEvent::kShareConflict, {});
-    m_flights.Pump(now);
+    m_pending.Pump(now);
     return;
   }
   const auto page = static_cast<std::uint32_t>(event.call & 0xffffffffU);
@@ -126,10 +126,10 @@
   if constexpr (std::is_same_v<Message, RunProgress> ||
                 std::is_same_v<Message, RunHead> ||
                 std::is_same_v<Message, RunChunk>) {
-    m_flights.Take(now, from, std::move(message));
+    m_pending.Take(now, from, std::move(message));
   } else if constexpr (std::is_same_v<Message, RunEnded>) {
     m_planner.TakeReport(from.vm, message.report);
-    m_flights.Take(now, from, message);
+    m_pending.Take(now, from, message);
   } else if constexpr (std::is_same_v<Message, AgentReport>) {
     m_agents.TakeReport(now, from.vm, message);
     m_planner.TakeReport(from.vm, message);
@@ -149,7 +149,7 @@
       m_state.Emit(SendToEndpoint{.endpoint = from.endpoint, .message = loan});
   } else if constexpr (std::is_same_v<Message, QuotaLoan>) {
     m_state.quota.HandleLoan(now, from.vm, message);
-    m_flights.Pump(now);
+    m_pending.Pump(now);
   } else if constexpr (std::is_same_v<Message, OnceClaim>) {
     m_state.once.HandleClaim(now, process, message, m_state.roster);
   } else if constexpr (std::is_same_v<Message, OnceOutcome>) {
@@ -158,14 +158,14 @@
                        std::is_same_v<Message, OnceOutcomeStored> ||
                        std::is_same_v<Message, CrashNotice> ||
                        std::is_same_v<Message, SlotGrant>) {
-    m_flights.Take(now, message);
+    m_pending.Take(now, message);
   } else if constexpr (std::is_same_v<Message, SlotAsk>) {
     SendGrants(m_slots.HandleAsk(now, from, message));
   }
 }
 
-void Router::SendGrants(const std::vector<SlotDesk::Grant>& grants) {
-  for (const SlotDesk::Grant& grant : grants)
+void Router::SendGrants(const std::vector<SlotSemaphore::Grant>& grants) {
+  for (const SlotSemaphore::Grant& grant : grants)
     m_state.SendToVm(grant.vm, grant.grant);
 }
 
@@ -199,7 +199,7 @@
 }
 
 void Router::ApplyConfig(TimePoint now, const FeedChanged& changed) {
-  using Origin = QuotaDesk::TeamOrigin;
+  using Origin = QuotaManager::TeamOrigin;
   const Origin origin =
       changed.from_snapshot ? Origin::kFound : Origin::kCreated;
   for (const FeedItem& item : changed.items) {
@@ -216,8 +216,8 @@
   m_state.Log(LogEvent::kConfigApplied,
               {{"revision", std::to_string(m_state.feed.revision())},
                {"items", std::to_string(changed.items.size())}});
-  m_flights.CheckKeys(now);
-  m_flights.Pump(now);
+  m_pending.CheckKeys(now);
+  m_pending.Pump(now);
 }
 
 void Router::ApplyRoster(TimePoint now, const RosterList& list) {
@@ -245,7 +245,7 @@
                                  .record = std::move(write->page)});
       } else if (auto* send = std::get_if<OnceSend>(&effect)) {
         if (send->vm == m_state.options.vm) {
-          std::visit([&](const auto& message) { m_flights.Take(now, message); },
+          std::visit([&](const auto& message) { m_pending.Take(now, message); },
                      send->message);
         } else {
           std::visit(
@@ -264,7 +264,7 @@
 
 void Router::On(TimePoint now, const Ticked& /*event*/) {
   PollQuota(now);
-  m_flights.Tick(now);
+  m_pending.Tick(now);
   m_operators.Tick(now);
   if (now >= m_next_slow_tick) {
     m_next_slow_tick = now + kSlowTick;
@@ -281,7 +281,7 @@
 void Router::PollQuota(TimePoint now) {
   if (now < m_next_quota_poll)
     return;
-  m_next_quota_poll = now + QuotaDesk::kPollInterval;
+  m_next_quota_poll = now + QuotaManager::kPollInterval;
   for (OutgoingAsk& outgoing : m_state.quota.Poll(now))
     m_state.SendToVm(outgoing.vm, std::move(outgoing.ask));
 }
@@ -333,13 +333,13 @@
   m_state.draining = true;
   m_drain_started = now;
   m_state.Log(LogEvent::kDraining,
-              {{"open", std::to_string(m_flights.OpenRequests())}});
+              {{"open", std::to_string(m_pending.OpenRequests())}});
 }
 
 void Router::CheckDrain(TimePoint now) {
   if (!m_state.draining || m_drain_done)
     return;
-  const bool open = m_flights.OpenRequests() > 0 || m_operators.Busy();
+  const bool open = m_pending.OpenRequests() > 0 || m_operators.Busy();
   if (now - m_drain_started < m_state.options.drain_grace || open)
     return;
   if (m_give_back_started == kNever) {
--- a/source/core/router/router.h
+++ b/source/core/router/router.h
@@ -7,12 +7,12 @@
 
 #include "common/time.h"
 #include "core/router/agent_table.h"
-#include "core/router/flight_desk.h"
-#include "core/router/operator_desk.h"
+#include "core/router/operator_api.h"
 #include "core/router/planner_duty.h"
+#include "core/router/request_scheduler.h"
 #include "core/router/router_messages.h"
 #include "core/router/router_state.h"
-#include "core/routing/slot_desk.h"
+#include "core/routing/slot_semaphore.h"
 
 namespace boragepick {
 
@@ -33,7 +33,7 @@
   bool Ready() const { return m_state.feed.HasView() && !m_state.draining; }
 
   const RouterState& state() const { return m_state; }
-  const FlightDesk& flights() const { return m_flights; }
+  const RequestScheduler& requests() const { return m_pending; }
 
  private:
   void On(TimePoint now, CallerArrived event);
@@ -62,15 +62,15 @@
   void PollQuota(TimePoint now);
   void PlanShares(TimePoint now);
   void AdoptOncePages(TimePoint now);
-  void SendGrants(const std::vector<SlotDesk::Grant>& grants);
+  void SendGrants(const std::vector<SlotSemaphore::Grant>& grants);
   void CheckDrain(TimePoint now);
 
   RouterState m_state;
   AgentTable m_agents;
-  FlightDesk m_flights;
-  OperatorDesk m_operators;
+  RequestScheduler m_pending;
+  OperatorApi m_operators;
   PlannerDuty m_planner;
-  SlotDesk m_slots;
+  SlotSemaphore m_slots;
 
   std::uint64_t m_share_call = 0;
   TimePoint m_next_quota_poll = TimePoint{};
--- a/source/core/router/router_state.h
+++ b/source/core/router/router_state.h
@@ -11,7 +11,7 @@
 #include "core/config/config_view.h"
 #include "core/feed/feed_node.h"
 #include "core/once/once_owner.h"
-#include "core/quota/quota_desk.h"
+#include "core/quota/quota_manager.h"
 #include "core/roster/roster.h"
 #include "core/router/router_messages.h"
 
@@ -47,7 +47,7 @@
   Roster roster;
   ConfigView view;
   FeedNode feed;
-  QuotaDesk quota;
+  QuotaManager quota;
   OnceOwner once;
   bool draining = false;
   std::vector<RouterEffect> effects;
--- a/source/core/routing/poison_book.cc
+++ b/source/core/routing/quarantine.cc
@@ -1,19 +1,20 @@
-#include "core/routing/poison_book.h"
+#include "core/routing/quarantine.h"
 
 namespace boragepick {
 
-PoisonVerdict PoisonBook::Judge(TimePoint now, Fingerprint fingerprint) {
+QuarantineVerdict Quarantine::Judge(TimePoint now, Fingerprint fingerprint) {
   if (m_entries.empty())
-    return PoisonVerdict::kClean;
+    return QuarantineVerdict::kClean;
   Forget(now);
   const auto found = m_entries.find(fingerprint);
   if (found == m_entries.end())
-    return PoisonVerdict::kClean;
+    return QuarantineVerdict::kClean;
   const bool convicted = found->second.crashes.size() >= m_crashes_to_convict;
-  return convicted ? PoisonVerdict::kConvicted : PoisonVerdict::kSuspect;
+  return convicted ? QuarantineVerdict::kConvicted
+                   : QuarantineVerdict::kSuspect;
 }
 
-bool PoisonBook::Take(TimePoint now, const CrashNotice& notice) {
+bool Quarantine::Take(TimePoint now, const CrashNotice& notice) {
   if (notice.cleared) {
     const auto found = m_entries.find(notice.fingerprint);
     // why: a late all-clear doesn't undo a conviction
@@ -30,7 +31,7 @@
   return fresh;
 }
 
-void PoisonBook::Forget(TimePoint now) {
+void Quarantine::Forget(TimePoint now) {
   std::erase_if(m_entries, [&](const auto& entry) {
     return now - entry.second.last_crash >= kSuspicionLife;
   });
--- a/source/core/routing/poison_book.h
+++ b/source/core/routing/quarantine.h
@@ -19,12 +19,12 @@
 // Hash of team, path and body.
 using Fingerprint = std::uint64_t;
 
-enum class PoisonVerdict { kClean, kSuspect, kConvicted };
+enum class QuarantineVerdict { kClean, kSuspect, kConvicted };
 
-inline constexpr EnumTable kPoisonVerdictNames{std::array{
-    EnumName<PoisonVerdict>{PoisonVerdict::kClean, "clean"},
-    EnumName<PoisonVerdict>{PoisonVerdict::kSuspect, "suspect"},
-    EnumName<PoisonVerdict>{PoisonVerdict::kConvicted, "convicted"},
+inline constexpr EnumTable kQuarantineVerdictNames{std::array{
+    EnumName<QuarantineVerdict>{QuarantineVerdict::kClean, "clean"},
+    EnumName<QuarantineVerdict>{QuarantineVerdict::kSuspect, "suspect"},
+    EnumName<QuarantineVerdict>{QuarantineVerdict::kConvicted, "convicted"},
 }};
 
 // Told to the other routers whenever an entry changes; doubled notices change
@@ -37,14 +37,14 @@
   bool cleared = false;
 };
 
-class PoisonBook {
+class Quarantine {
  public:
   static constexpr Duration kSuspicionLife = std::chrono::minutes(10);
 
-  explicit PoisonBook(std::size_t crashes_to_convict = 2)
+  explicit Quarantine(std::size_t crashes_to_convict = 2)
       : m_crashes_to_convict(crashes_to_convict) {}
 
-  PoisonVerdict Judge(TimePoint now, Fingerprint fingerprint);
+  QuarantineVerdict Judge(TimePoint now, Fingerprint fingerprint);
 
   // Returns whether the notice told something new.
   bool Take(TimePoint now, const CrashNotice& notice);
--- a/source/core/routing/slot_desk.cc
+++ b/source/core/routing/slot_semaphore.cc
@@ -1,4 +1,4 @@
-#include "core/routing/slot_desk.h"
+#include "core/routing/slot_semaphore.h"
 
 #include <algorithm>
 #include <tuple>
@@ -20,9 +20,10 @@
   return 1;
 }
 
-std::vector<SlotDesk::Grant> SlotDesk::HandleAsk(TimePoint now,
-                                                 const PeerSender& from,
-                                                 const SlotAsk& ask) {
+std::vector<SlotSemaphore::Grant> SlotSemaphore::HandleAsk(
+    TimePoint now,
+    const PeerSender& from,
+    const SlotAsk& ask) {
   std::vector<Grant> grants;
   Pool& pool = m_pools[ask.pool];
   const Holder holder{
@@ -51,9 +52,9 @@
   return grants;
 }
 
-void SlotDesk::Fill(const std::string& name,
-                    Pool& pool,
-                    std::vector<Grant>& grants) {
+void SlotSemaphore::Fill(const std::string& name,
+                         Pool& pool,
+                         std::vector<Grant>& grants) {
   auto held = static_cast<std::size_t>(std::ranges::count_if(
       pool, [](const auto& entry) { return entry.second.granted; }));
   while (held < SlotsOf(name)) {
@@ -76,7 +77,7 @@
   }
 }
 
-std::vector<SlotDesk::Grant> SlotDesk::Tick(TimePoint now) {
+std::vector<SlotSemaphore::Grant> SlotSemaphore::Tick(TimePoint now) {
   std::vector<Grant> grants;
   for (auto& [name, pool] : m_pools) {
     std::erase_if(pool, [&](const auto& e) {
@@ -89,7 +90,7 @@
   return grants;
 }
 
-std::size_t SlotDesk::Holding(const std::string& pool) const {
+std::size_t SlotSemaphore::Holding(const std::string& pool) const {
   const auto found = m_pools.find(pool);
   if (found == m_pools.end())
     return 0;
--- a/source/core/routing/slot_desk.h
+++ b/source/core/routing/slot_semaphore.h
@@ -22,7 +22,7 @@
 // How many places `pool` has.
 std::size_t SlotsOf(const std::string& pool);
 
-class SlotDesk {
+class SlotSemaphore {
  public:
   // Asks are repeated every kAskPeriod; one not repeated for so long is
   // forgotten, with its place.
--- a/source/core/serving/crash_suspects.cc
+++ b/source/core/serving/crash_suspects.cc
@@ -21,28 +21,29 @@
                                                    std::int64_t born) {
   CrashNotice notice{.fingerprint = FingerprintOf(exchange),
                      .crash = worker + "/" + std::to_string(born)};
-  if (!m_book.Take(now, notice))
+  if (!m_quarantine.Take(now, notice))
     return std::nullopt;
   return notice;
 }
 
 std::optional<CrashNotice> CrashSuspects::RanWhole(TimePoint now,
                                                    const Exchange& exchange) {
-  if (m_book.Size() == 0)
+  if (m_quarantine.Size() == 0)
     return std::nullopt;
   CrashNotice notice{.fingerprint = FingerprintOf(exchange), .cleared = true};
-  if (!m_book.Take(now, notice))
+  if (!m_quarantine.Take(now, notice))
     return std::nullopt;
   return notice;
 }
 
 void CrashSuspects::Take(TimePoint now, const CrashNotice& notice) {
-  m_book.Take(now, notice);
+  m_quarantine.Take(now, notice);
 }
 
 bool CrashSuspects::IsRefused(TimePoint now, const Exchange& exchange) {
-  return m_book.Size() > 0 && m_book.Judge(now, FingerprintOf(exchange)) ==
-                                  PoisonVerdict::kConvicted;
+  return m_quarantine.Size() > 0 &&
+         m_quarantine.Judge(now, FingerprintOf(exchange)) ==
+             QuarantineVerdict::kConvicted;
 }
 
 }  // namespace boragepick
--- a/source/core/serving/crash_suspects.h
+++ b/source/core/serving/crash_suspects.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "common/time.h"
-#include "core/routing/poison_book.h"
+#include "core/routing/quarantine.h"
 #include "core/serving/exchange.h"
 
 namespace boragepick {
@@ -33,7 +33,7 @@
   bool IsRefused(TimePoint now, const Exchange& exchange);
 
  private:
-  PoisonBook m_book{kCrashesToRefuse};
+  Quarantine m_quarantine{kCrashesToRefuse};
 };
 
 }  // namespace boragepick
--- a/source/core/serving/serving_fleet.cc
+++ b/source/core/serving/serving_fleet.cc
@@ -154,7 +154,7 @@
   for (const auto& [name, team] : m_teams) {
     if (IsLimited(name))
       m_quota->SetTeam(now, name, SpecOf(team.spec, m_options.quota_slack),
-                       QuotaDesk::TeamOrigin::kFound);
+                       QuotaManager::TeamOrigin::kFound);
   }
 }
 
--- a/source/core/serving/serving_fleet.h
+++ b/source/core/serving/serving_fleet.h
@@ -14,7 +14,7 @@
 #include "common/time.h"
 #include "core/peer_messages.h"
 #include "core/platform_call.h"
-#include "core/quota/quota_desk.h"
+#include "core/quota/quota_manager.h"
 #include "core/roster/roster.h"
 #include "core/serving/serving_config.h"
 
@@ -111,7 +111,7 @@
     return std::exchange(m_effects, {});
   }
 
-  static constexpr Duration kPollInterval = QuotaDesk::kPollInterval;
+  static constexpr Duration kPollInterval = QuotaManager::kPollInterval;
 
  private:
   struct Team {
@@ -131,7 +131,7 @@
   Revision m_records_revision = 0;
   Roster m_roster;
   std::map<std::string, Team> m_teams;
-  std::optional<QuotaDesk> m_quota;
+  std::optional<QuotaManager> m_quota;
   std::map<std::uint32_t, SharePage> m_early_pages;
   // Whether all records were read once.
   bool m_synced = false;
--- a/source/unit_tests/core/quota_history_test.cc
+++ b/source/unit_tests/core/quota_history_test.cc
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "common/random.h"
-#include "core/quota/quota_desk.h"
+#include "core/quota/quota_manager.h"
 #include "unit_tests/core/fake_network.h"
 
 namespace boragepick {
@@ -61,7 +61,7 @@
 struct Holder {
   std::string vm;
   Incarnation run = 1;
-  std::unique_ptr<QuotaDesk> desk;
+  std::unique_ptr<QuotaManager> manager;
   Roster roster;
   bool alive = true;
   // A paused process handles nothing; what came meanwhile waits.
@@ -102,14 +102,14 @@
 
   bool Admit(const std::string& vm, Tokens cost) {
     Holder& holder = m_holders.at(vm);
-    if (!CanAct(holder) || !holder.desk->Admit(m_now, kTeam, cost))
+    if (!CanAct(holder) || !holder.manager->Admit(m_now, kTeam, cost))
       return false;
     m_admissions.push_back({.at = m_now, .tokens = cost});
     return true;
   }
 
   void SetWaiting(const std::string& vm, Tokens first, Tokens all) {
-    m_holders.at(vm).desk->SetWaiting(kTeam, first, all);
+    m_holders.at(vm).manager->SetWaiting(kTeam, first, all);
   }
 
   void Restart(const std::string& vm) {
@@ -146,7 +146,8 @@
   void ChangeTeam(const TeamSpec& team) {
     m_team = team;
     for (auto& [vm, holder] : m_holders)
-      holder.desk->SetTeam(m_now, kTeam, team, QuotaDesk::TeamOrigin::kCreated);
+      holder.manager->SetTeam(m_now, kTeam, team,
+                              QuotaManager::TeamOrigin::kCreated);
   }
 
   void Advance(Duration duration) {
@@ -163,10 +164,11 @@
     holder.alive = true;
     holder.roster = Roster();
     holder.roster.Apply(m_now, m_list);
-    holder.desk = std::make_unique<QuotaDesk>(
+    holder.manager = std::make_unique<QuotaManager>(
         ProcessId{.vm = holder.vm, .incarnation = holder.run});
-    holder.desk->SetSelfListedVersion(m_list.version);
-    holder.desk->SetTeam(m_now, kTeam, m_team, QuotaDesk::TeamOrigin::kFound);
+    holder.manager->SetSelfListedVersion(m_list.version);
+    holder.manager->SetTeam(m_now, kTeam, m_team,
+                            QuotaManager::TeamOrigin::kFound);
   }
 
   void Step() {
@@ -183,14 +185,14 @@
       holder.next_feed = m_now + milliseconds(m_random.Below(300));
       holder.roster.Apply(m_now, m_list);
       for (const auto& [number, page] : m_service.pages)
-        holder.desk->SetPage(m_now, page);
+        holder.manager->SetPage(m_now, page);
     }
     if (m_now < holder.next_poll)
       return;
-    holder.next_poll = m_now + QuotaDesk::kPollInterval;
-    for (OutgoingAsk& ask : holder.desk->Poll(m_now))
+    holder.next_poll = m_now + QuotaManager::kPollInterval;
+    for (OutgoingAsk& ask : holder.manager->Poll(m_now))
       Send(holder, ask.vm, std::move(ask.ask));
-    const auto page = holder.desk->PlanPage(m_now, holder.roster, false);
+    const auto page = holder.manager->PlanPage(m_now, holder.roster, false);
     if (!page)
       return;
     Revision revision = 0;
@@ -200,7 +202,7 @@
     // why: the connection may break just when the answer is on its way
     if (lose && m_random.Below(2) == 0)
       holder.cut_until = m_now + milliseconds(m_random.Below(10'000));
-    holder.desk->PageWritten(m_now, outcome, revision);
+    holder.manager->PageWritten(m_now, outcome, revision);
   }
 
   void Send(const Holder& from,
@@ -225,12 +227,12 @@
       if (const auto* ask = std::get_if<QuotaAsk>(&message.payload)) {
         const std::string borrower =
             message.from + "#" + std::to_string(message.from_run);
-        const QuotaLoan loan = to.desk->HandleAsk(m_now, borrower, *ask);
+        const QuotaLoan loan = to.manager->HandleAsk(m_now, borrower, *ask);
         if (ask->wanted > 0)
           Send(to, message.from, loan);
       } else {
-        to.desk->HandleLoan(m_now, message.from,
-                            std::get<QuotaLoan>(message.payload));
+        to.manager->HandleLoan(m_now, message.from,
+                               std::get<QuotaLoan>(message.payload));
       }
     }
   }
--- a/source/unit_tests/core/routing_test.cc
+++ b/source/unit_tests/core/routing_test.cc
@@ -13,9 +13,9 @@
 #include "core/routing/choice.h"
 #include "core/routing/event_stream.h"
 #include "core/routing/fair_queue.h"
-#include "core/routing/poison_book.h"
+#include "core/routing/quarantine.h"
 #include "core/routing/retry_budget.h"
-#include "core/routing/slot_desk.h"
+#include "core/routing/slot_semaphore.h"
 
 namespace boragepick {
 namespace {
@@ -162,21 +162,21 @@
   EXPECT_LT(2 * LongestQueue<AffinityOfTwo>(3), LongestQueue<RoundRobin>(3));
 }
 
-TEST(PoisonBook, ConvictsAfterTwoCrashesAndClearsInnocents) {
-  PoisonBook book;
+TEST(Quarantine, ConvictsAfterTwoCrashesAndClearsInnocents) {
+  Quarantine book;
   book.Take(kNow, {.fingerprint = 1, .crash = "w1/1"});
   book.Take(kNow, {.fingerprint = 2, .crash = "w1/1"});
-  EXPECT_EQ(book.Judge(kNow, 1), PoisonVerdict::kSuspect);
+  EXPECT_EQ(book.Judge(kNow, 1), QuarantineVerdict::kSuspect);
   // The same crash, told twice or by another router, counts once.
   book.Take(kNow, {.fingerprint = 1, .crash = "w1/1"});
-  EXPECT_EQ(book.Judge(kNow, 1), PoisonVerdict::kSuspect);
+  EXPECT_EQ(book.Judge(kNow, 1), QuarantineVerdict::kSuspect);
   book.Take(kNow, {.fingerprint = 2, .cleared = true});
-  EXPECT_EQ(book.Judge(kNow, 2), PoisonVerdict::kClean);
+  EXPECT_EQ(book.Judge(kNow, 2), QuarantineVerdict::kClean);
   book.Take(kNow, {.fingerprint = 1, .crash = "w2/1"});
   book.Take(kNow, {.fingerprint = 1, .cleared = true});
-  EXPECT_EQ(book.Judge(kNow, 1), PoisonVerdict::kConvicted);
-  EXPECT_EQ(book.Judge(kNow + PoisonBook::kSuspicionLife, 1),
-            PoisonVerdict::kClean);
+  EXPECT_EQ(book.Judge(kNow, 1), QuarantineVerdict::kConvicted);
+  EXPECT_EQ(book.Judge(kNow + Quarantine::kSuspicionLife, 1),
+            QuarantineVerdict::kClean);
 }
 
 TEST(RetryBudget, RetriesStayAShareOfFirstRequests) {
@@ -189,30 +189,30 @@
   EXPECT_LE(retries, 10'000 * RetryBudget::kShare + RetryBudget::kInitial);
 }
 
-TEST(SlotDesk, InteractiveLoadsComeBeforeBatchOnes) {
-  SlotDesk desk;
+TEST(SlotSemaphore, InteractiveLoadsComeBeforeBatchOnes) {
+  SlotSemaphore semaphore;
   const PeerSender agent{.vm = "w1", .incarnation = 1};
   for (std::uint64_t number = 1; number <= 6; ++number)
-    desk.HandleAsk(
+    semaphore.HandleAsk(
         kNow, agent,
         {.number = number, .pool = kWeightSlots, .priority = Priority::kBatch});
-  EXPECT_EQ(desk.Holding(kWeightSlots), 4U);
-  desk.HandleAsk(kNow, agent, {.number = 7, .pool = kWeightSlots});
-  const auto grants = desk.HandleAsk(
+  EXPECT_EQ(semaphore.Holding(kWeightSlots), 4U);
+  semaphore.HandleAsk(kNow, agent, {.number = 7, .pool = kWeightSlots});
+  const auto grants = semaphore.HandleAsk(
       kNow, agent, {.number = 1, .pool = kWeightSlots, .done = true});
   ASSERT_EQ(grants.size(), 1U);
   EXPECT_EQ(grants[0].grant.number, 7U);
 }
 
-TEST(SlotDesk, ASilentHolderLosesItsPlace) {
-  SlotDesk desk;
+TEST(SlotSemaphore, ASilentHolderLosesItsPlace) {
+  SlotSemaphore semaphore;
   for (int i = 0; i < 5; ++i) {
     const PeerSender agent{.vm = "w" + std::to_string(i), .incarnation = 1};
-    desk.HandleAsk(kNow, agent, {.number = 1, .pool = kWeightSlots});
+    semaphore.HandleAsk(kNow, agent, {.number = 1, .pool = kWeightSlots});
   }
-  desk.HandleAsk(kNow + seconds(4), {.vm = "w4", .incarnation = 1},
-                 {.number = 1, .pool = kWeightSlots});
-  const auto grants = desk.Tick(kNow + SlotDesk::kAskLife);
+  semaphore.HandleAsk(kNow + seconds(4), {.vm = "w4", .incarnation = 1},
+                      {.number = 1, .pool = kWeightSlots});
+  const auto grants = semaphore.Tick(kNow + SlotSemaphore::kAskLife);
   ASSERT_EQ(grants.size(), 1U);
   EXPECT_EQ(grants[0].vm, "w4");
 }
