--- a/source/benchmarks/capacity_slopes.cc
+++ b/source/benchmarks/capacity_slopes.cc
@@ -17,7 +17,7 @@
 #include "common/random.h"
 #include "core/config/config_view.h"
 #include "core/feed/feed_node.h"
-#include "core/once/once_page.h"
+#include "core/idempotency/idempotency_page.h"
 #include "core/placement/planner.h"
 #include "core/quota/quota_manager.h"
 #include "core/routing/quarantine.h"
@@ -266,12 +266,12 @@
                   .size());
 }
 
-void OnceSlopes() {
+void IdempotencySlopes() {
   std::vector<Sample> bytes;
   std::vector<Sample> time;
   for (const int claims : {100, 500, 1500}) {
-    OncePage page{.page = 1,
-                  .owner = {.vm = "router-1", .incarnation = 1796371699257}};
+    IdempotencyPage page{
+        .page = 1, .owner = {.vm = "router-1", .incarnation = 1796371699257}};
     for (int i = 0; i < claims; ++i)
       page.entries[ClaimIdOf("team", std::to_string(i))] = {
           .state = ClaimState::kDone,
@@ -386,7 +386,7 @@
   FeedSlopes();
   RosterSlopes();
   QuotaSlopes();
-  OnceSlopes();
+  IdempotencySlopes();
   PlannerSlopes();
   ReportSizes();
   if (argc > 1 && std::strcmp(argv[1], "daemons") == 0)
--- a/source/benchmarks/decision_benchmark.cc
+++ b/source/benchmarks/decision_benchmark.cc
@@ -8,7 +8,7 @@
 #include "common/random.h"
 #include "core/config/config_view.h"
 #include "core/feed/feed_store.h"
-#include "core/once/once_owner.h"
+#include "core/idempotency/idempotency_store.h"
 #include "core/quota/quota_manager.h"
 #include "core/routing/choice.h"
 #include "core/routing/fair_queue.h"
--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -93,8 +93,10 @@
        "This router changed its standing share of a quota page."},
       {LogEvent::kShareConflict, kInfo, kQuota, "share_conflict",
        "Another router changed the quota page first; this one plans again."},
-      {LogEvent::kOnceConflict, kWarning, kOnce, "once_conflict",
-       "A page of once-claims had been changed by another writer; it is read "
+      {LogEvent::kIdempotencyConflict, kWarning, kIdempotency,
+       "idempotency_conflict",
+       "A page of idempotency claims had been changed by another writer; it is "
+       "read "
        "again."},
       {LogEvent::kConfigApplied, kInfo, kFeed, "config_applied",
        "A new configuration revision is in force on this node."},
--- a/source/common/log_event.h
+++ b/source/common/log_event.h
@@ -19,7 +19,7 @@
   kRouting,
   kPlacement,
   kQuota,
-  kOnce,
+  kIdempotency,
   kFeed,
   kPeers
 };
@@ -36,7 +36,7 @@
     EnumName<LogCategory>{LogCategory::kRouting, "routing"},
     EnumName<LogCategory>{LogCategory::kPlacement, "placement"},
     EnumName<LogCategory>{LogCategory::kQuota, "quota"},
-    EnumName<LogCategory>{LogCategory::kOnce, "once"},
+    EnumName<LogCategory>{LogCategory::kIdempotency, "idempotency"},
     EnumName<LogCategory>{LogCategory::kFeed, "feed"},
     EnumName<LogCategory>{LogCategory::kPeers, "peers"},
 }};
@@ -71,7 +71,7 @@
   kEngineRestarted = 310,
   kSharePlanned = 400,
   kShareConflict = 401,
-  kOnceConflict = 501,
+  kIdempotencyConflict = 501,
   kConfigApplied = 600,
   kConfigRejected = 601,
   kRelayChanged = 602,
--- a/source/core/once/once_page.cc
+++ b/source/core/idempotency/idempotency_page.cc
@@ -1,4 +1,4 @@
-#include "core/once/once_page.h"
+#include "core/idempotency/idempotency_page.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,7 +12,7 @@
 
 constexpr std::size_t kEntryOverheadBytes = 96;
 
-std::size_t SizeOfEntry(const std::string& id, const OnceEntry& entry) {
+std::size_t SizeOfEntry(const std::string& id, const IdempotencyEntry& entry) {
   return kEntryOverheadBytes + id.size() + entry.request_hash.size() +
          entry.runner.vm.size() + entry.answer.body.size() +
          entry.answer.content_type.size();
@@ -24,20 +24,21 @@
   return Sha256Hex(team + '\n' + key);
 }
 
-std::uint32_t OncePageOf(const std::string& claim_id) {
-  return static_cast<std::uint32_t>(StableHash(claim_id) % kOncePageCount);
+std::uint32_t IdempotencyPageOf(const std::string& claim_id) {
+  return static_cast<std::uint32_t>(StableHash(claim_id) %
+                                    kIdempotencyPageCount);
 }
 
-std::size_t SizeOf(const OncePage& page) {
+std::size_t SizeOf(const IdempotencyPage& page) {
   std::size_t bytes = 0;
   for (const auto& [id, entry] : page.entries)
     bytes += SizeOfEntry(id, entry);
   return bytes;
 }
 
-void TrimOncePage(OncePage& page) {
+void TrimIdempotencyPage(IdempotencyPage& page) {
   std::size_t bytes = SizeOf(page);
-  if (bytes <= kOnceTrimBytes)
+  if (bytes <= kIdempotencyTrimBytes)
     return;
   std::vector<std::pair<std::uint64_t, std::string>> finished;
   for (const auto& [id, entry] : page.entries) {
@@ -46,7 +47,7 @@
   }
   std::ranges::sort(finished);
   for (const auto& [order, id] : finished) {
-    if (bytes <= kOnceTrimBytes)
+    if (bytes <= kIdempotencyTrimBytes)
       return;
     bytes -= SizeOfEntry(id, page.entries.at(id));
     page.entries.erase(id);
--- a/source/core/once/once_page.h
+++ b/source/core/idempotency/idempotency_page.h
@@ -13,12 +13,12 @@
 
 namespace boragepick {
 
-inline constexpr std::uint32_t kOncePageCount = 128;
+inline constexpr std::uint32_t kIdempotencyPageCount = 128;
 // A page refuses new claims beyond this, so that its record stays under the
 // service's megabyte.
-inline constexpr std::size_t kMaxOncePageBytes = 600'000;
+inline constexpr std::size_t kMaxIdempotencyPageBytes = 600'000;
 // The oldest finished claims are dropped beyond this.
-inline constexpr std::size_t kOnceTrimBytes = 400'000;
+inline constexpr std::size_t kIdempotencyTrimBytes = 400'000;
 // Larger answers are not kept: a retry is told that the request ran.
 inline constexpr std::size_t kMaxKeptAnswerBytes = 16'384;
 
@@ -39,7 +39,7 @@
   bool operator==(const KeptAnswer&) const = default;
 };
 
-struct OnceEntry {
+struct IdempotencyEntry {
   ClaimState state = ClaimState::kClaimed;
   // Hash of method, path and body: the same key with another request is
   // refused.
@@ -54,24 +54,24 @@
   std::uint64_t order = 0;
 };
 
-struct OncePage {
+struct IdempotencyPage {
   std::uint32_t page = 0;
   Revision revision = 0;
   // The only router that may add claims; empty after a graceful release.
   ProcessId owner;
   std::uint64_t last_order = 0;
   // By claim id.
-  std::map<std::string, OnceEntry> entries;
+  std::map<std::string, IdempotencyEntry> entries;
 };
 
 // Team and caller's key together; teams can't meet in one claim.
 std::string ClaimIdOf(const std::string& team, const std::string& key);
-std::uint32_t OncePageOf(const std::string& claim_id);
+std::uint32_t IdempotencyPageOf(const std::string& claim_id);
 
 // Estimate of the encoded size, in bytes.
-std::size_t SizeOf(const OncePage& page);
+std::size_t SizeOf(const IdempotencyPage& page);
 
 // Drops the oldest finished claims until the page is small enough.
-void TrimOncePage(OncePage& page);
+void TrimIdempotencyPage(IdempotencyPage& page);
 
 }  // namespace boragepick
--- a/source/core/once/once_owner.cc
+++ b/source/core/idempotency/idempotency_store.cc
@@ -1,4 +1,4 @@
-#include "core/once/once_owner.h"
+#include "core/idempotency/idempotency_store.h"
 
 #include <algorithm>
 #include <iterator>
@@ -7,37 +7,39 @@
 
 namespace {
 
-bool IsClaimOf(const OnceEntry& entry,
+bool IsClaimOf(const IdempotencyEntry& entry,
                const ProcessId& from,
                std::uint64_t token) {
   return entry.runner == from && entry.token == token;
 }
 
-OnceVerdict VerdictFor(const OnceEntry& entry, std::uint64_t token) {
-  OnceVerdict verdict{.token = token, .kind = OnceVerdictKind::kUnknown};
+IdempotencyVerdict VerdictFor(const IdempotencyEntry& entry,
+                              std::uint64_t token) {
+  IdempotencyVerdict verdict{.token = token,
+                             .kind = IdempotencyVerdictKind::kUnknown};
   if (entry.state == ClaimState::kDone) {
-    verdict.kind =
-        entry.answer_kept ? OnceVerdictKind::kReplay : OnceVerdictKind::kRan;
+    verdict.kind = entry.answer_kept ? IdempotencyVerdictKind::kReplay
+                                     : IdempotencyVerdictKind::kRan;
     verdict.answer = entry.answer;
   }
   return verdict;
 }
 
 void ApplyEnding(const ProcessId& from,
-                 const OnceOutcome& outcome,
-                 OncePage& page) {
+                 const IdempotencyOutcome& outcome,
+                 IdempotencyPage& page) {
   const auto found = page.entries.find(outcome.claim_id);
   if (found == page.entries.end() ||
       !IsClaimOf(found->second, from, outcome.token))
     return;
-  OnceEntry& entry = found->second;
+  IdempotencyEntry& entry = found->second;
   if (entry.state != ClaimState::kClaimed)
     return;
-  if (outcome.result == OnceResult::kNotRun) {
+  if (outcome.result == IdempotencyResult::kNotRun) {
     page.entries.erase(found);
     return;
   }
-  const bool whole = outcome.result == OnceResult::kWhole;
+  const bool whole = outcome.result == IdempotencyResult::kWhole;
   entry.state = whole ? ClaimState::kDone : ClaimState::kLost;
   entry.answer_kept =
       whole && outcome.answer.body.size() <= kMaxKeptAnswerBytes;
@@ -46,9 +48,9 @@
 }
 
 // Whether the stored page shows nothing more to do for that ending.
-bool IsEnded(const OncePage& page,
+bool IsEnded(const IdempotencyPage& page,
              const ProcessId& from,
-             const OnceOutcome& outcome) {
+             const IdempotencyOutcome& outcome) {
   const auto found = page.entries.find(outcome.claim_id);
   const bool open = found != page.entries.end() &&
                     IsClaimOf(found->second, from, outcome.token) &&
@@ -63,20 +65,23 @@
 
 }  // namespace
 
-OnceOwner::PageState& OnceOwner::StateOf(const std::string& claim_id) {
-  const std::uint32_t page = OncePageOf(claim_id);
+IdempotencyStore::PageState& IdempotencyStore::StateOf(
+    const std::string& claim_id) {
+  const std::uint32_t page = IdempotencyPageOf(claim_id);
   PageState& state = m_pages[page];
   state.stored.page = page;
   return state;
 }
 
-void OnceOwner::SendVerdict(const ProcessId& to, OnceVerdict verdict) {
-  m_effects.push_back(OnceSend{.vm = to.vm, .message = std::move(verdict)});
+void IdempotencyStore::SendVerdict(const ProcessId& to,
+                                   IdempotencyVerdict verdict) {
+  m_effects.push_back(
+      IdempotencySend{.vm = to.vm, .message = std::move(verdict)});
 }
 
-bool OnceOwner::MayOwn(TimePoint now,
-                       const OncePage& record,
-                       const Roster& roster) const {
+bool IdempotencyStore::MayOwn(TimePoint now,
+                              const IdempotencyPage& record,
+                              const Roster& roster) const {
   // why: a VM that the list doesn't show would be taken for gone, and its page
   // with it
   if (m_released || roster.Find(m_self.vm) == nullptr)
@@ -86,10 +91,10 @@
   return roster.ProvenGone(now, record.owner);
 }
 
-void OnceOwner::HandleClaim(TimePoint now,
-                            const ProcessId& from,
-                            const OnceClaim& claim,
-                            const Roster& roster) {
+void IdempotencyStore::HandleClaim(TimePoint now,
+                                   const ProcessId& from,
+                                   const IdempotencyClaim& claim,
+                                   const Roster& roster) {
   PageState& state = StateOf(claim.claim_id);
   const Claimant claimant{.from = from, .claim = claim, .arrived = now};
   if (state.status == PageStatus::kOwned) {
@@ -104,13 +109,13 @@
   Advance(now, state);
 }
 
-void OnceOwner::HandleOutcome(TimePoint now,
-                              const ProcessId& from,
-                              const OnceOutcome& outcome) {
+void IdempotencyStore::HandleOutcome(TimePoint now,
+                                     const ProcessId& from,
+                                     const IdempotencyOutcome& outcome) {
   PageState& state = StateOf(outcome.claim_id);
   if (state.status == PageStatus::kForeign && now < state.foreign_until) {
     SendVerdict(from, {.token = outcome.token,
-                       .kind = OnceVerdictKind::kRedirect,
+                       .kind = IdempotencyVerdictKind::kRedirect,
                        .owner_vm = state.stored.owner.vm});
     return;
   }
@@ -129,17 +134,17 @@
   const bool certain =
       state.status == PageStatus::kOwned && !state.must_read && !being_written;
   if (certain && IsEnded(state.stored, from, outcome)) {
-    m_effects.push_back(
-        OnceSend{.vm = from.vm, .message = OnceOutcomeStored{outcome.token}});
+    m_effects.push_back(IdempotencySend{
+        .vm = from.vm, .message = IdempotencyOutcomeStored{outcome.token}});
     return;
   }
   state.changes.endings.push_back({.from = from, .outcome = outcome});
   Advance(now, state);
 }
 
-void OnceOwner::WithdrawClaim(PageState& state,
-                              const ProcessId& from,
-                              std::uint64_t token) {
+void IdempotencyStore::WithdrawClaim(PageState& state,
+                                     const ProcessId& from,
+                                     std::uint64_t token) {
   const auto same = [&](const Claimant& claimant) {
     return claimant.from == from && claimant.claim.token == token;
   };
@@ -149,11 +154,11 @@
                 [&](const auto& entry) { return same(entry.second); });
 }
 
-void OnceOwner::Decide(TimePoint now,
-                       PageState& state,
-                       const Claimant& claimant,
-                       const Roster& roster) {
-  const OnceClaim& claim = claimant.claim;
+void IdempotencyStore::Decide(TimePoint now,
+                              PageState& state,
+                              const Claimant& claimant,
+                              const Roster& roster) {
+  const IdempotencyClaim& claim = claimant.claim;
   for (const Changes* changes : {&state.changes, &state.writing}) {
     for (const Claimant& other : changes->claims) {
       if (other.claim.claim_id != claim.claim_id)
@@ -170,7 +175,7 @@
     DecideKnown(now, state, claimant, entry->second, roster);
     return;
   }
-  if (SizeOf(state.stored) > kMaxOncePageBytes) {
+  if (SizeOf(state.stored) > kMaxIdempotencyPageBytes) {
     SendVerdict(claimant.from,
                 {.token = claim.token, .kind = KindIfUnclaimed(state)});
     return;
@@ -178,7 +183,8 @@
   state.changes.claims.push_back(claimant);
 }
 
-void OnceOwner::WaitForRunning(PageState& state, const Claimant& claimant) {
+void IdempotencyStore::WaitForRunning(PageState& state,
+                                      const Claimant& claimant) {
   const auto [first, last] = state.running.equal_range(claimant.claim.claim_id);
   const bool waits = std::any_of(first, last, [&](const auto& entry) {
     const Claimant& other = entry.second;
@@ -190,15 +196,15 @@
     state.running.emplace(claimant.claim.claim_id, claimant);
 }
 
-void OnceOwner::DecideKnown(TimePoint now,
-                            PageState& state,
-                            const Claimant& claimant,
-                            const OnceEntry& entry,
-                            const Roster& roster) {
-  const OnceClaim& claim = claimant.claim;
+void IdempotencyStore::DecideKnown(TimePoint now,
+                                   PageState& state,
+                                   const Claimant& claimant,
+                                   const IdempotencyEntry& entry,
+                                   const Roster& roster) {
+  const IdempotencyClaim& claim = claimant.claim;
   if (entry.request_hash != claim.request_hash) {
-    SendVerdict(claimant.from,
-                {.token = claim.token, .kind = OnceVerdictKind::kMismatch});
+    SendVerdict(claimant.from, {.token = claim.token,
+                                .kind = IdempotencyVerdictKind::kMismatch});
     return;
   }
   if (entry.state != ClaimState::kClaimed) {
@@ -213,28 +219,29 @@
     const bool ending = std::ranges::any_of(state.changes.endings, withdrawn) ||
                         std::ranges::any_of(state.writing.endings, withdrawn);
     if (!ending)
-      SendVerdict(claimant.from,
-                  {.token = claim.token, .kind = OnceVerdictKind::kGranted});
+      SendVerdict(claimant.from, {.token = claim.token,
+                                  .kind = IdempotencyVerdictKind::kGranted});
     return;
   }
   if (roster.ProvenGone(now, entry.runner)) {
-    SendVerdict(claimant.from,
-                {.token = claim.token, .kind = OnceVerdictKind::kUnknown});
+    SendVerdict(claimant.from, {.token = claim.token,
+                                .kind = IdempotencyVerdictKind::kUnknown});
     return;
   }
   WaitForRunning(state, claimant);
-  SendVerdict(claimant.from,
-              {.token = claim.token, .kind = OnceVerdictKind::kInProgress});
+  SendVerdict(claimant.from, {.token = claim.token,
+                              .kind = IdempotencyVerdictKind::kInProgress});
 }
 
-OnceVerdictKind OnceOwner::KindIfUnclaimed(const PageState& state) const {
+IdempotencyVerdictKind IdempotencyStore::KindIfUnclaimed(
+    const PageState& state) const {
   // why: only while it owns the page can nobody else have granted the key
   // meanwhile
-  return state.stored.owner == m_self ? OnceVerdictKind::kNotRun
-                                      : OnceVerdictKind::kUnknown;
+  return state.stored.owner == m_self ? IdempotencyVerdictKind::kNotRun
+                                      : IdempotencyVerdictKind::kUnknown;
 }
 
-void OnceOwner::Adopt(TimePoint now, std::uint32_t page) {
+void IdempotencyStore::Adopt(TimePoint now, std::uint32_t page) {
   PageState& state = m_pages[page];
   state.stored.page = page;
   const bool known =
@@ -246,7 +253,7 @@
   Advance(now, state);
 }
 
-void OnceOwner::Advance(TimePoint now, PageState& state) {
+void IdempotencyStore::Advance(TimePoint now, PageState& state) {
   if (state.call != Call::kNone || now < state.call_not_before)
     return;
   const bool wanted = !state.changes.Empty() || !state.unread.empty() ||
@@ -259,12 +266,12 @@
     Write(state);
 }
 
-void OnceOwner::Read(PageState& state) {
+void IdempotencyStore::Read(PageState& state) {
   state.call = Call::kRead;
-  m_effects.push_back(OnceReadPage{.page = state.stored.page});
+  m_effects.push_back(IdempotencyReadPage{.page = state.stored.page});
 }
 
-void OnceOwner::Write(PageState& state) {
+void IdempotencyStore::Write(PageState& state) {
   state.written = state.stored;
   state.written.owner = state.releasing ? ProcessId{} : m_self;
   state.writing = std::exchange(state.changes, {});
@@ -277,21 +284,21 @@
   }
   for (const Ending& ending : state.writing.endings)
     ApplyEnding(ending.from, ending.outcome, state.written);
-  TrimOncePage(state.written);
+  TrimIdempotencyPage(state.written);
   state.call = Call::kWrite;
-  m_effects.push_back(OnceWritePage{.page = state.written});
+  m_effects.push_back(IdempotencyWritePage{.page = state.written});
 }
 
-void OnceOwner::PageRead(TimePoint now,
-                         std::uint32_t page,
-                         std::optional<OncePage> record,
-                         const Roster& roster) {
+void IdempotencyStore::PageRead(TimePoint now,
+                                std::uint32_t page,
+                                std::optional<IdempotencyPage> record,
+                                const Roster& roster) {
   PageState& state = m_pages[page];
   if (state.call != Call::kRead)
     return;
   state.call = Call::kNone;
   state.must_read = false;
-  OncePage found = record.value_or(OncePage{});
+  IdempotencyPage found = record.value_or(IdempotencyPage{});
   found.page = page;
   const bool mine = MayOwn(now, found, roster);
   Become(now, state, std::move(found),
@@ -299,11 +306,11 @@
   Advance(now, state);
 }
 
-void OnceOwner::Become(TimePoint now,
-                       PageState& state,
-                       OncePage record,
-                       PageStatus status,
-                       const Roster& roster) {
+void IdempotencyStore::Become(TimePoint now,
+                              PageState& state,
+                              IdempotencyPage record,
+                              PageStatus status,
+                              const Roster& roster) {
   state.stored = std::move(record);
   state.status = status;
   FinishStored(now, state, roster);
@@ -320,7 +327,7 @@
     Decide(now, state, claimant, roster);
 }
 
-void OnceOwner::PageReadFailed(TimePoint now, std::uint32_t page) {
+void IdempotencyStore::PageReadFailed(TimePoint now, std::uint32_t page) {
   PageState& state = m_pages[page];
   if (state.call != Call::kRead)
     return;
@@ -328,11 +335,11 @@
   state.call_not_before = now + kCallAgain;
 }
 
-void OnceOwner::PageWritten(TimePoint now,
-                            std::uint32_t page,
-                            WriteOutcome outcome,
-                            Revision revision,
-                            const Roster& roster) {
+void IdempotencyStore::PageWritten(TimePoint now,
+                                   std::uint32_t page,
+                                   WriteOutcome outcome,
+                                   Revision revision,
+                                   const Roster& roster) {
   PageState& state = m_pages[page];
   if (state.call != Call::kWrite)
     return;
@@ -340,7 +347,7 @@
   AppendTo(state.changes.claims, std::exchange(state.writing.claims, {}));
   AppendTo(state.changes.endings, std::exchange(state.writing.endings, {}));
   if (outcome == WriteOutcome::kWritten) {
-    OncePage written = std::move(state.written);
+    IdempotencyPage written = std::move(state.written);
     written.revision = revision;
     const bool released = state.releasing;
     state.releasing = false;
@@ -355,9 +362,9 @@
   Advance(now, state);
 }
 
-void OnceOwner::FinishStored(TimePoint now,
-                             PageState& state,
-                             const Roster& roster) {
+void IdempotencyStore::FinishStored(TimePoint now,
+                                    PageState& state,
+                                    const Roster& roster) {
   std::vector<Ending> ended;
   for (Ending& ending : std::exchange(state.changes.endings, {})) {
     const bool done = IsEnded(state.stored, ending.from, ending.outcome);
@@ -378,13 +385,13 @@
     FinishEnding(now, state, ending, roster);
 }
 
-void OnceOwner::FinishEnding(TimePoint now,
-                             PageState& state,
-                             const Ending& ending,
-                             const Roster& roster) {
-  m_effects.push_back(
-      OnceSend{.vm = ending.from.vm,
-               .message = OnceOutcomeStored{ending.outcome.token}});
+void IdempotencyStore::FinishEnding(TimePoint now,
+                                    PageState& state,
+                                    const Ending& ending,
+                                    const Roster& roster) {
+  m_effects.push_back(IdempotencySend{
+      .vm = ending.from.vm,
+      .message = IdempotencyOutcomeStored{ending.outcome.token}});
   const auto [first, last] = state.running.equal_range(ending.outcome.claim_id);
   std::vector<Claimant> waiting;
   for (auto it = first; it != last; ++it)
@@ -394,7 +401,7 @@
     Decide(now, state, claimant, roster);
 }
 
-void OnceOwner::RedirectAll(PageState& state) {
+void IdempotencyStore::RedirectAll(PageState& state) {
   const std::string owner = state.stored.owner.vm;
   std::vector<Claimant> claims = std::exchange(state.unread, {});
   AppendTo(claims, std::exchange(state.changes.claims, {}));
@@ -402,17 +409,17 @@
     claims.push_back(claimant);
   for (const Claimant& claimant : claims) {
     SendVerdict(claimant.from, {.token = claimant.claim.token,
-                                .kind = OnceVerdictKind::kRedirect,
+                                .kind = IdempotencyVerdictKind::kRedirect,
                                 .owner_vm = owner});
   }
   for (const Ending& ending : std::exchange(state.changes.endings, {})) {
     SendVerdict(ending.from, {.token = ending.outcome.token,
-                              .kind = OnceVerdictKind::kRedirect,
+                              .kind = IdempotencyVerdictKind::kRedirect,
                               .owner_vm = owner});
   }
 }
 
-void OnceOwner::ExpireClaims(TimePoint now, PageState& state) {
+void IdempotencyStore::ExpireClaims(TimePoint now, PageState& state) {
   const auto expired = [&](const Claimant& c) {
     return now - c.arrived >= kClaimPatience;
   };
@@ -421,7 +428,7 @@
     // excluded
     if (expired(claimant))
       SendVerdict(claimant.from, {.token = claimant.claim.token,
-                                  .kind = OnceVerdictKind::kUnknown});
+                                  .kind = IdempotencyVerdictKind::kUnknown});
   }
   std::erase_if(state.unread, expired);
   // why: a write under way is awaited, since its claims may be granted yet
@@ -437,20 +444,20 @@
           {.from = claimant.from,
            .outcome = {.claim_id = claimant.claim.claim_id,
                        .token = claimant.claim.token,
-                       .result = OnceResult::kNotRun}});
+                       .result = IdempotencyResult::kNotRun}});
     }
   }
   std::erase_if(state.changes.claims, expired);
 }
 
-void OnceOwner::Tick(TimePoint now) {
+void IdempotencyStore::Tick(TimePoint now) {
   for (auto& [page, state] : m_pages) {
     ExpireClaims(now, state);
     Advance(now, state);
   }
 }
 
-void OnceOwner::Release() {
+void IdempotencyStore::Release() {
   m_released = true;
   for (auto& [page, state] : m_pages) {
     if (state.status == PageStatus::kOwned && state.stored.owner == m_self)
@@ -458,7 +465,7 @@
   }
 }
 
-bool OnceOwner::Busy() const {
+bool IdempotencyStore::Busy() const {
   return std::ranges::any_of(m_pages, [](const auto& entry) {
     const PageState& state = entry.second;
     return state.call != Call::kNone || !state.changes.Empty() ||
--- a/source/core/once/once_owner.h
+++ b/source/core/idempotency/idempotency_store.h
@@ -1,4 +1,4 @@
-// The owner of pages of once-claims. A router becomes a page's owner by
+// The owner of pages of idempotency claims. A router becomes a page's owner by
 // compare-and-swap when the page has none, or when the last one is proven gone;
 // while it lives nobody else may add claims, so it can say for certain what has
 // not been claimed, also while the platform's service is down.
@@ -13,28 +13,29 @@
 #include <vector>
 
 #include "common/time.h"
-#include "core/once/once_messages.h"
-#include "core/once/once_page.h"
+#include "core/idempotency/idempotency_messages.h"
+#include "core/idempotency/idempotency_page.h"
 #include "core/platform_call.h"
 #include "core/roster/roster.h"
 
 namespace boragepick {
 
 // Effects, carried out by the owner's process.
-struct OnceReadPage {
+struct IdempotencyReadPage {
   std::uint32_t page = 0;
 };
 // To be written if the stored revision is still `page.revision`.
-struct OnceWritePage {
-  OncePage page;
+struct IdempotencyWritePage {
+  IdempotencyPage page;
 };
-struct OnceSend {
+struct IdempotencySend {
   std::string vm;
-  std::variant<OnceVerdict, OnceOutcomeStored> message;
+  std::variant<IdempotencyVerdict, IdempotencyOutcomeStored> message;
 };
-using OnceEffect = std::variant<OnceReadPage, OnceWritePage, OnceSend>;
+using IdempotencyEffect =
+    std::variant<IdempotencyReadPage, IdempotencyWritePage, IdempotencySend>;
 
-class OnceOwner {
+class IdempotencyStore {
  public:
   // A claim that can't be written for so long is answered.
   static constexpr Duration kClaimPatience = std::chrono::milliseconds(800);
@@ -43,7 +44,7 @@
   // Wait between a failed call and the next one.
   static constexpr Duration kCallAgain = std::chrono::milliseconds(300);
 
-  explicit OnceOwner(ProcessId self) : m_self(std::move(self)) {}
+  explicit IdempotencyStore(ProcessId self) : m_self(std::move(self)) {}
 
   void SetSelfListedVersion(std::uint64_t version) {
     m_self.listed_version = version;
@@ -51,16 +52,16 @@
 
   void HandleClaim(TimePoint now,
                    const ProcessId& from,
-                   const OnceClaim& claim,
+                   const IdempotencyClaim& claim,
                    const Roster& roster);
   void HandleOutcome(TimePoint now,
                      const ProcessId& from,
-                     const OnceOutcome& outcome);
+                     const IdempotencyOutcome& outcome);
 
   // `record` is empty when the page doesn't exist.
   void PageRead(TimePoint now,
                 std::uint32_t page,
-                std::optional<OncePage> record,
+                std::optional<IdempotencyPage> record,
                 const Roster& roster);
   void PageReadFailed(TimePoint now, std::uint32_t page);
   void PageWritten(TimePoint now,
@@ -83,7 +84,9 @@
   // Whether claims, outcomes or calls to the platform are under way.
   bool Busy() const;
 
-  std::vector<OnceEffect> TakeEffects() { return std::exchange(m_effects, {}); }
+  std::vector<IdempotencyEffect> TakeEffects() {
+    return std::exchange(m_effects, {});
+  }
 
  private:
   enum class PageStatus { kUnread, kOwned, kForeign };
@@ -91,12 +94,12 @@
 
   struct Claimant {
     ProcessId from;
-    OnceClaim claim;
+    IdempotencyClaim claim;
     TimePoint arrived;
   };
   struct Ending {
     ProcessId from;
-    OnceOutcome outcome;
+    IdempotencyOutcome outcome;
   };
   // Claims and endings that the stored page doesn't hold yet.
   struct Changes {
@@ -106,10 +109,10 @@
   };
   struct PageState {
     PageStatus status = PageStatus::kUnread;
-    OncePage stored;
+    IdempotencyPage stored;
     Changes changes;
     // The write under way.
-    OncePage written;
+    IdempotencyPage written;
     Changes writing;
     // Changes of a write whose outcome only the record can tell.
     bool must_read = true;
@@ -135,11 +138,11 @@
   void DecideKnown(TimePoint now,
                    PageState& state,
                    const Claimant& claimant,
-                   const OnceEntry& entry,
+                   const IdempotencyEntry& entry,
                    const Roster& roster);
   void Become(TimePoint now,
               PageState& state,
-              OncePage record,
+              IdempotencyPage record,
               PageStatus status,
               const Roster& roster);
   // Answers all changes that the stored page now holds, and forgets them.
@@ -154,16 +157,16 @@
   void RedirectAll(PageState& state);
   void ExpireClaims(TimePoint now, PageState& state);
   bool MayOwn(TimePoint now,
-              const OncePage& record,
+              const IdempotencyPage& record,
               const Roster& roster) const;
-  void SendVerdict(const ProcessId& to, OnceVerdict verdict);
-  OnceVerdictKind KindIfUnclaimed(const PageState& state) const;
+  void SendVerdict(const ProcessId& to, IdempotencyVerdict verdict);
+  IdempotencyVerdictKind KindIfUnclaimed(const PageState& state) const;
   PageState& StateOf(const std::string& claim_id);
 
   ProcessId m_self;
   bool m_released = false;
   std::map<std::uint32_t, PageState> m_pages;
-  std::vector<OnceEffect> m_effects;
+  std::vector<IdempotencyEffect> m_effects;
 };
 
 }  // namespace boragepick
--- a/source/core/peer_messages.h
+++ b/source/core/peer_messages.h
@@ -12,7 +12,7 @@
 #include "common/time.h"
 #include "core/engine/engine_messages.h"
 #include "core/feed/feed_item.h"
-#include "core/once/once_messages.h"
+#include "core/idempotency/idempotency_messages.h"
 #include "core/placement/memory_ledger.h"
 #include "core/quota/quota_messages.h"
 #include "core/roster/roster_entry.h"
@@ -179,10 +179,10 @@
                                  RosterList,
                                  QuotaAsk,
                                  QuotaLoan,
-                                 OnceClaim,
-                                 OnceVerdict,
-                                 OnceOutcome,
-                                 OnceOutcomeStored,
+                                 IdempotencyClaim,
+                                 IdempotencyVerdict,
+                                 IdempotencyOutcome,
+                                 IdempotencyOutcomeStored,
                                  CrashNotice,
                                  SlotAsk,
                                  SlotGrant,
--- a/source/core/router/pending_request.h
+++ b/source/core/router/pending_request.h
@@ -8,7 +8,7 @@
 #include "common/enum_table.h"
 #include "common/time.h"
 #include "core/config/config_view.h"
-#include "core/once/once_messages.h"
+#include "core/idempotency/idempotency_messages.h"
 #include "core/peer_messages.h"
 #include "core/routing/event_stream.h"
 #include "core/routing/request.h"
@@ -81,7 +81,7 @@
   bool granted = false;
   bool in_progress = false;
   TimePoint next_claim_send = kNever;
-  OnceOutcome outcome;
+  IdempotencyOutcome outcome;
   TimePoint give_up_storing = kNever;
   // The caller is gone or refused; only the outcome is still awaited.
   bool abandoned = false;
--- a/source/core/router/request_scheduler.cc
+++ b/source/core/router/request_scheduler.cc
@@ -268,9 +268,9 @@
       (dispatched || pending.stage == RequestStage::kStoringOutcome))
     return;
   if (once) {
-    SendOutcome(
-        now, pending,
-        pending.may_have_run ? OnceResult::kUnknown : OnceResult::kNotRun);
+    SendOutcome(now, pending,
+                pending.may_have_run ? IdempotencyResult::kUnknown
+                                     : IdempotencyResult::kNotRun);
     return;
   }
   Forget(pending);
@@ -366,7 +366,7 @@
       return;
     case RequestStage::kClaiming:
       Refuse(now, pending,
-             {.code = RefusalCode::kOnceOutcomeUnknown,
+             {.code = RefusalCode::kIdempotencyOutcomeUnknown,
               .ran = Ran::kUnknown,
               .message =
                   "it is not known whether a request with this key has run"});
--- a/source/core/router/request_scheduler.h
+++ b/source/core/router/request_scheduler.h
@@ -1,6 +1,6 @@
-// Carries callers' requests through a router: checks, tokens, once-claims,
-// choice of an agent, attempts, retries, answers. It alone answers the requests
-// it took.
+// Carries callers' requests through a router: checks, tokens, idempotency
+// claims, choice of an agent, attempts, retries, answers. It alone answers the
+// requests it took.
 #pragma once
 
 #include <cstdint>
@@ -64,8 +64,8 @@
   void Take(TimePoint now, const PeerSender& from, RunHead message);
   void Take(TimePoint now, const PeerSender& from, RunChunk message);
   void Take(TimePoint now, const PeerSender& from, const RunEnded& message);
-  void Take(TimePoint now, const OnceVerdict& verdict);
-  void Take(TimePoint now, const OnceOutcomeStored& stored);
+  void Take(TimePoint now, const IdempotencyVerdict& verdict);
+  void Take(TimePoint now, const IdempotencyOutcomeStored& stored);
   void Take(TimePoint now, const SlotGrant& grant);
   void Take(TimePoint now, const CrashNotice& notice) {
     m_quarantine.Take(now, notice);
@@ -101,7 +101,9 @@
   // Once-claims.
   void StartClaim(TimePoint now, PendingRequest& pending);
   void SendClaim(TimePoint now, PendingRequest& pending);
-  void SendOutcome(TimePoint now, PendingRequest& pending, OnceResult result);
+  void SendOutcome(TimePoint now,
+                   PendingRequest& pending,
+                   IdempotencyResult result);
   void SendOutcomeAgain(TimePoint now, PendingRequest& pending);
   void Granted(TimePoint now, PendingRequest& pending);
   void Redirected(TimePoint now,
--- a/source/core/router/router.cc
+++ b/source/core/router/router.cc
@@ -19,8 +19,8 @@
 constexpr std::uint32_t kAdoptionsPerTick = 1;
 constexpr Duration kAdoptionPassPeriod = std::chrono::seconds(30);
 constexpr Duration kGiveBackPatience = std::chrono::seconds(5);
-// Calls about pages of once-claims are numbered by the tag and the page.
-constexpr std::uint64_t kOnceCallTag = 0x4f6e6365;
+// Calls about pages of idempotency claims are numbered by the tag and the page.
+constexpr std::uint64_t kIdempotencyCallTag = 0x4f6e6365;
 
 }  // namespace
 
@@ -34,7 +34,7 @@
   std::visit([&](auto&& held) { On(now, std::forward<decltype(held)>(held)); },
              std::move(event));
   CollectFeed(now);
-  CollectOnce(now);
+  CollectIdempotency(now);
   return std::exchange(m_state.effects, {});
 }
 
@@ -65,11 +65,12 @@
     return;
   }
   const auto page = static_cast<std::uint32_t>(event.call & 0xffffffffU);
-  if ((event.call >> 32U) == kOnceCallTag) {
+  if ((event.call >> 32U) == kIdempotencyCallTag) {
     m_state.once.PageWritten(now, page, event.outcome, event.revision,
                              m_state.roster);
     if (event.outcome == WriteOutcome::kConflict)
-      m_state.Log(LogEvent::kOnceConflict, {{"page", std::to_string(page)}});
+      m_state.Log(LogEvent::kIdempotencyConflict,
+                  {{"page", std::to_string(page)}});
     return;
   }
   if (m_planner.Written(now, event))
@@ -77,7 +78,7 @@
   m_operators.Written(now, event);
 }
 
-void Router::On(TimePoint now, OncePageRead event) {
+void Router::On(TimePoint now, IdempotencyPageRead event) {
   if (event.answered)
     m_state.once.PageRead(now, event.page, std::move(event.record),
                           m_state.roster);
@@ -150,12 +151,12 @@
   } else if constexpr (std::is_same_v<Message, QuotaLoan>) {
     m_state.quota.HandleLoan(now, from.vm, message);
     m_pending.Pump(now);
-  } else if constexpr (std::is_same_v<Message, OnceClaim>) {
+  } else if constexpr (std::is_same_v<Message, IdempotencyClaim>) {
     m_state.once.HandleClaim(now, process, message, m_state.roster);
-  } else if constexpr (std::is_same_v<Message, OnceOutcome>) {
+  } else if constexpr (std::is_same_v<Message, IdempotencyOutcome>) {
     m_state.once.HandleOutcome(now, process, message);
-  } else if constexpr (std::is_same_v<Message, OnceVerdict> ||
-                       std::is_same_v<Message, OnceOutcomeStored> ||
+  } else if constexpr (std::is_same_v<Message, IdempotencyVerdict> ||
+                       std::is_same_v<Message, IdempotencyOutcomeStored> ||
                        std::is_same_v<Message, CrashNotice> ||
                        std::is_same_v<Message, SlotGrant>) {
     m_pending.Take(now, message);
@@ -231,19 +232,20 @@
                {"vms", std::to_string(list.entries.size())}});
 }
 
-void Router::CollectOnce(TimePoint now) {
+void Router::CollectIdempotency(TimePoint now) {
   // why: answers to this router's own claims can cause further claims
   for (auto effects = m_state.once.TakeEffects(); !effects.empty();
        effects = m_state.once.TakeEffects()) {
-    for (OnceEffect& effect : effects) {
-      if (const auto* read = std::get_if<OnceReadPage>(&effect)) {
-        m_state.Emit(ReadOncePage{.page = read->page});
-      } else if (auto* write = std::get_if<OnceWritePage>(&effect)) {
-        const std::uint64_t call = (kOnceCallTag << 32U) | write->page.page;
+    for (IdempotencyEffect& effect : effects) {
+      if (const auto* read = std::get_if<IdempotencyReadPage>(&effect)) {
+        m_state.Emit(ReadIdempotencyPage{.page = read->page});
+      } else if (auto* write = std::get_if<IdempotencyWritePage>(&effect)) {
+        const std::uint64_t call =
+            (kIdempotencyCallTag << 32U) | write->page.page;
         m_state.Emit(WriteRecord{.call = call,
                                  .base = write->page.revision,
                                  .record = std::move(write->page)});
-      } else if (auto* send = std::get_if<OnceSend>(&effect)) {
+      } else if (auto* send = std::get_if<IdempotencySend>(&effect)) {
         if (send->vm == m_state.options.vm) {
           std::visit([&](const auto& message) { m_pending.Take(now, message); },
                      send->message);
@@ -272,7 +274,7 @@
     m_state.once.Tick(now);
     m_planner.Tick(now);
     PlanShares(now);
-    AdoptOncePages(now);
+    AdoptIdempotencyPages(now);
     SendGrants(m_slots.Tick(now));
   }
   CheckDrain(now);
@@ -302,7 +304,7 @@
       .call = m_share_call, .base = page->revision, .record = *page});
 }
 
-void Router::AdoptOncePages(TimePoint now) {
+void Router::AdoptIdempotencyPages(TimePoint now) {
   const bool listed = m_state.roster.Find(m_state.options.vm) != nullptr;
   if (!listed || m_state.draining)
     return;
@@ -312,13 +314,14 @@
   if (pass_due) {
     m_adopting_for = m_state.roster.version();
     m_next_adoption_pass = now + kAdoptionPassPeriod;
-    m_pages_to_adopt = kOncePageCount;
+    m_pages_to_adopt = kIdempotencyPageCount;
   }
   for (std::uint32_t i = 0; i < kAdoptionsPerTick && m_pages_to_adopt > 0;
        ++i) {
     const std::uint32_t page = --m_pages_to_adopt;
-    const std::vector<std::string> order = RendezvousOrder(
-        "once-page/" + std::to_string(page), m_state.roster.LiveRouters());
+    const std::vector<std::string> order =
+        RendezvousOrder("idempotency-page/" + std::to_string(page),
+                        m_state.roster.LiveRouters());
     if (!order.empty() && order.front() == m_state.options.vm)
       m_state.once.Adopt(now, page);
   }
--- a/source/core/router/router.h
+++ b/source/core/router/router.h
@@ -41,7 +41,7 @@
   void On(TimePoint now, PeerReceived event);
   void On(TimePoint now, const OperatorAsked& event);
   void On(TimePoint now, const RecordWritten& event);
-  void On(TimePoint now, OncePageRead event);
+  void On(TimePoint now, IdempotencyPageRead event);
   void On(TimePoint now, const ResourceRead& event);
   void On(TimePoint now, const FeedReceived& event);
   void On(TimePoint now, const FeedProbed& event);
@@ -56,12 +56,12 @@
   // Carries on what the parts left as effects of their own.
   void CollectFeed(TimePoint now);
   void CarryFeedEffect(TimePoint now, FeedEffect effect);
-  void CollectOnce(TimePoint now);
+  void CollectIdempotency(TimePoint now);
   void ApplyConfig(TimePoint now, const FeedChanged& changed);
   void ApplyRoster(TimePoint now, const RosterList& list);
   void PollQuota(TimePoint now);
   void PlanShares(TimePoint now);
-  void AdoptOncePages(TimePoint now);
+  void AdoptIdempotencyPages(TimePoint now);
   void SendGrants(const std::vector<SlotSemaphore::Grant>& grants);
   void CheckDrain(TimePoint now);
 
--- a/source/core/router/router_messages.h
+++ b/source/core/router/router_messages.h
@@ -9,7 +9,7 @@
 
 #include "common/log_event.h"
 #include "core/feed/feed_node.h"
-#include "core/once/once_page.h"
+#include "core/idempotency/idempotency_page.h"
 #include "core/operator_messages.h"
 #include "core/peer_messages.h"
 #include "core/platform_call.h"
@@ -38,11 +38,11 @@
   WriteOutcome outcome = WriteOutcome::kUnknown;
   Revision revision = 0;
 };
-struct OncePageRead {
+struct IdempotencyPageRead {
   std::uint32_t page = 0;
   // Whether the service answered.
   bool answered = false;
-  std::optional<OncePage> record;
+  std::optional<IdempotencyPage> record;
 };
 struct ResourceRead {
   std::uint64_t call = 0;
@@ -69,7 +69,7 @@
                                  PeerReceived,
                                  OperatorAsked,
                                  RecordWritten,
-                                 OncePageRead,
+                                 IdempotencyPageRead,
                                  ResourceRead,
                                  FeedReceived,
                                  FeedProbed,
@@ -117,7 +117,7 @@
 struct WriteRecord {
   std::uint64_t call = 0;
   Revision base = 0;
-  std::variant<Resource, PermitRecord, SharePage, OncePage> record;
+  std::variant<Resource, PermitRecord, SharePage, IdempotencyPage> record;
 };
 struct DeleteRecord {
   std::uint64_t call = 0;
@@ -125,7 +125,7 @@
   ResourceKind kind = ResourceKind::kModel;
   std::string name;
 };
-struct ReadOncePage {
+struct ReadIdempotencyPage {
   std::uint32_t page = 0;
 };
 struct ReadResource {
@@ -146,7 +146,7 @@
                                   RenewPeer,
                                   WriteRecord,
                                   DeleteRecord,
-                                  ReadOncePage,
+                                  ReadIdempotencyPage,
                                   ReadResource,
                                   StartWatch,
                                   StopWatch,
--- a/source/core/router/router_state.h
+++ b/source/core/router/router_state.h
@@ -10,7 +10,7 @@
 #include "common/random.h"
 #include "core/config/config_view.h"
 #include "core/feed/feed_node.h"
-#include "core/once/once_owner.h"
+#include "core/idempotency/idempotency_store.h"
 #include "core/quota/quota_manager.h"
 #include "core/roster/roster.h"
 #include "core/router/router_messages.h"
@@ -48,7 +48,7 @@
   ConfigView view;
   FeedNode feed;
   QuotaManager quota;
-  OnceOwner once;
+  IdempotencyStore once;
   bool draining = false;
   std::vector<RouterEffect> effects;
 
--- a/source/core/router/scheduler_attempts.cc
+++ b/source/core/router/scheduler_attempts.cc
@@ -285,7 +285,7 @@
     }
   }
   if (pending.claim_token != 0)
-    SendOutcome(now, pending, OnceResult::kWhole);
+    SendOutcome(now, pending, IdempotencyResult::kWhole);
   else
     Finish(now, pending);
 }
@@ -319,7 +319,7 @@
               .ran = Ran::kUnknown,
               .message = "the upstream failed while it ran: " + why});
     } else {
-      SendOutcome(now, pending, OnceResult::kUnknown);
+      SendOutcome(now, pending, IdempotencyResult::kUnknown);
     }
     return;
   }
--- a/source/core/router/scheduler_claims.cc
+++ b/source/core/router/scheduler_claims.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-const std::string kOnceRefusedMessage =
+const std::string kIdempotencyRefusedMessage =
     "the request was not run: its key can't be recorded now, and it must not "
     "run unrecorded";
 
@@ -25,7 +25,7 @@
   if (!pending.claim_owner.empty())
     return pending.claim_owner;
   const std::string duty =
-      "once-page/" + std::to_string(OncePageOf(pending.claim_id));
+      "idempotency-page/" + std::to_string(IdempotencyPageOf(pending.claim_id));
   const std::vector<std::string> order =
       RendezvousOrder(duty, m_state.roster.LiveRouters());
   return order.empty() ? m_state.options.vm : order.front();
@@ -41,9 +41,9 @@
 
 void RequestScheduler::SendClaim(TimePoint now, PendingRequest& pending) {
   pending.next_claim_send = now + kClaimResend;
-  const OnceClaim claim{.claim_id = pending.claim_id,
-                        .request_hash = RequestHash(pending.request),
-                        .token = pending.claim_token};
+  const IdempotencyClaim claim{.claim_id = pending.claim_id,
+                               .request_hash = RequestHash(pending.request),
+                               .token = pending.claim_token};
   const std::string owner = ClaimOwner(pending);
   if (owner == m_state.options.vm)
     m_state.once.HandleClaim(now, m_state.self(), claim, m_state.roster);
@@ -56,11 +56,11 @@
   return found == m_claims.end() ? nullptr : Find(found->second);
 }
 
-void RequestScheduler::Take(TimePoint now, const OnceVerdict& verdict) {
+void RequestScheduler::Take(TimePoint now, const IdempotencyVerdict& verdict) {
   PendingRequest* pending = FindClaim(verdict.token);
   if (pending == nullptr)
     return;
-  if (verdict.kind == OnceVerdictKind::kRedirect) {
+  if (verdict.kind == IdempotencyVerdictKind::kRedirect) {
     Redirected(now, *pending, verdict.owner_vm);
     return;
   }
@@ -68,41 +68,41 @@
       pending->abandoned)
     return;
   switch (verdict.kind) {
-    case OnceVerdictKind::kGranted:
+    case IdempotencyVerdictKind::kGranted:
       Granted(now, *pending);
       return;
-    case OnceVerdictKind::kReplay:
+    case IdempotencyVerdictKind::kReplay:
       AnswerKept(now, *pending, verdict.answer);
       return;
-    case OnceVerdictKind::kInProgress:
+    case IdempotencyVerdictKind::kInProgress:
       pending->in_progress = true;
       return;
-    case OnceVerdictKind::kRan:
+    case IdempotencyVerdictKind::kRan:
       Refuse(now, *pending,
-             {.code = RefusalCode::kOnceAnswerNotKept,
+             {.code = RefusalCode::kIdempotencyAnswerNotKept,
               .ran = Ran::kRan,
               .message = "a request with this key has run; its answer was too "
                          "large to be kept"});
       return;
-    case OnceVerdictKind::kMismatch:
+    case IdempotencyVerdictKind::kMismatch:
       Refuse(now, *pending,
              {.code = RefusalCode::kIdempotencyKeyReused,
               .message = "this key was used for another request"});
       return;
-    case OnceVerdictKind::kNotRun:
+    case IdempotencyVerdictKind::kNotRun:
       Refuse(now, *pending,
-             {.code = RefusalCode::kOnceUnavailable,
-              .message = kOnceRefusedMessage,
+             {.code = RefusalCode::kIdempotencyUnavailable,
+              .message = kIdempotencyRefusedMessage,
               .retry_after = std::chrono::seconds(1)});
       return;
-    case OnceVerdictKind::kUnknown:
+    case IdempotencyVerdictKind::kUnknown:
       Refuse(now, *pending,
-             {.code = RefusalCode::kOnceOutcomeUnknown,
+             {.code = RefusalCode::kIdempotencyOutcomeUnknown,
               .ran = Ran::kUnknown,
               .message =
                   "it is not known whether a request with this key has run"});
       return;
-    case OnceVerdictKind::kRedirect:
+    case IdempotencyVerdictKind::kRedirect:
       return;
   }
 }
@@ -141,17 +141,17 @@
 
 void RequestScheduler::SendOutcome(TimePoint now,
                                    PendingRequest& pending,
-                                   OnceResult result) {
+                                   IdempotencyResult result) {
   pending.stage = RequestStage::kStoringOutcome;
   pending.outcome = {.claim_id = pending.claim_id,
                      .token = pending.claim_token,
                      .result = result};
-  if (result == OnceResult::kWhole &&
+  if (result == IdempotencyResult::kWhole &&
       pending.body.size() <= kMaxKeptAnswerBytes) {
     pending.outcome.answer = {.status = pending.head.status,
                               .content_type = pending.head.content_type,
                               .body = pending.body};
-  } else if (result == OnceResult::kWhole) {
+  } else if (result == IdempotencyResult::kWhole) {
     // why: a body of this size marks the answer as not kept
     pending.outcome.answer.body.assign(kMaxKeptAnswerBytes + 1, ' ');
   }
@@ -163,14 +163,15 @@
                                         PendingRequest& pending) {
   pending.next_claim_send = now + kClaimResend;
   const std::string owner = ClaimOwner(pending);
-  const OnceOutcome outcome = pending.outcome;
+  const IdempotencyOutcome outcome = pending.outcome;
   if (owner == m_state.options.vm)
     m_state.once.HandleOutcome(now, m_state.self(), outcome);
   else
     m_state.SendToVm(owner, outcome);
 }
 
-void RequestScheduler::Take(TimePoint now, const OnceOutcomeStored& stored) {
+void RequestScheduler::Take(TimePoint now,
+                            const IdempotencyOutcomeStored& stored) {
   PendingRequest* pending = FindClaim(stored.token);
   if (pending == nullptr || pending->stage != RequestStage::kStoringOutcome)
     return;
--- a/source/core/routing/request.h
+++ b/source/core/routing/request.h
@@ -74,9 +74,9 @@
   kNoCapacity,
   kUpstreamFailed,
   kPoisoned,
-  kOnceUnavailable,
-  kOnceOutcomeUnknown,
-  kOnceAnswerNotKept,
+  kIdempotencyUnavailable,
+  kIdempotencyOutcomeUnknown,
+  kIdempotencyAnswerNotKept,
   kConfigurationMissing,
   kKeyWithdrawn,
 };
--- a/source/frontends/etcd_codec.cc
+++ b/source/frontends/etcd_codec.cc
@@ -64,8 +64,8 @@
     return {PermitKey(permits->model), EncodeValue(*permits)};
   if (const auto* shares = std::get_if<SharePage>(&write.record))
     return {ShareKey(shares->page), EncodeValue(*shares)};
-  const auto& page = std::get<OncePage>(write.record);
-  return {OnceKey(page.page), EncodeValue(page)};
+  const auto& page = std::get<IdempotencyPage>(write.record);
+  return {IdempotencyKey(page.page), EncodeValue(page)};
 }
 
 std::string EncodeRange(const std::string& key) {
--- a/source/frontends/platform_client.cc
+++ b/source/frontends/platform_client.cc
@@ -105,15 +105,15 @@
                         ResourceKey(message.kind, message.name), message.base));
 }
 
-void PlatformClient::On(const ReadOncePage& message) {
+void PlatformClient::On(const ReadIdempotencyPage& message) {
   const std::uint32_t page = message.page;
-  Call(kRangePath, EncodeRange(OnceKey(page)),
+  Call(kRangePath, EncodeRange(IdempotencyKey(page)),
        [this, page](const HttpReply& reply) {
-         OncePageRead read{.page = page};
+         IdempotencyPageRead read{.page = page};
          read.answered = TryDecode(reply, [&](const std::string& json) {
            const std::optional<RangeValue> value = DecodeRange(json);
            if (value)
-             read.record = DecodeOncePage(value->value, value->revision);
+             read.record = DecodeIdempotencyPage(value->value, value->revision);
          });
          m_outlet.event(std::move(read));
        });
--- a/source/frontends/platform_client.h
+++ b/source/frontends/platform_client.h
@@ -16,7 +16,7 @@
 
 using PlatformMessage = std::variant<WriteRecord,
                                      DeleteRecord,
-                                     ReadOncePage,
+                                     ReadIdempotencyPage,
                                      ReadResource,
                                      StartWatch,
                                      StopWatch,
@@ -48,7 +48,7 @@
  private:
   void On(const WriteRecord& message);
   void On(const DeleteRecord& message);
-  void On(const ReadOncePage& message);
+  void On(const ReadIdempotencyPage& message);
   void On(const ReadResource& message);
   void On(const StartWatch& message);
   void On(const StopWatch& message);
--- a/source/unit_tests/core/once_history_test.cc
+++ b/source/unit_tests/core/idempotency_history_test.cc
@@ -16,7 +16,7 @@
 
 #include "common/hashing.h"
 #include "common/random.h"
-#include "core/once/once_owner.h"
+#include "core/idempotency/idempotency_store.h"
 #include "unit_tests/core/fake_network.h"
 
 namespace boragepick {
@@ -25,8 +25,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-using OnceMessage =
-    std::variant<OnceClaim, OnceVerdict, OnceOutcome, OnceOutcomeStored>;
+using IdempotencyMessage = std::variant<IdempotencyClaim,
+                                        IdempotencyVerdict,
+                                        IdempotencyOutcome,
+                                        IdempotencyOutcomeStored>;
 
 constexpr Duration kStep = milliseconds(20);
 
@@ -43,14 +45,14 @@
   bool granted = false;
   // When the execution that was granted ends.
   TimePoint ends = kNever;
-  std::optional<OnceOutcome> outcome;
+  std::optional<IdempotencyOutcome> outcome;
   bool answered = false;
 };
 
 struct Node {
   std::string vm;
   Incarnation run = 1;
-  std::unique_ptr<OnceOwner> owner;
+  std::unique_ptr<IdempotencyStore> owner;
   Roster roster;
   bool alive = true;
   TimePoint paused_until = TimePoint{};
@@ -124,7 +126,7 @@
   int writes() const { return m_writes; }
   int reads() const { return m_reads; }
   int attempts() const { return m_attempts; }
-  int Verdicts(OnceVerdictKind kind) const {
+  int Verdicts(IdempotencyVerdictKind kind) const {
     const auto found = m_verdicts.find(kind);
     return found == m_verdicts.end() ? 0 : found->second;
   }
@@ -139,7 +141,7 @@
     node.attempts.clear();
     node.roster = Roster();
     node.roster.Apply(m_now, m_list);
-    node.owner = std::make_unique<OnceOwner>(
+    node.owner = std::make_unique<IdempotencyStore>(
         ProcessId{.vm = node.vm, .incarnation = node.run});
     node.owner->SetSelfListedVersion(m_list.version);
   }
@@ -182,11 +184,11 @@
 
   void Continue(Node& node, std::uint64_t token, Attempt& attempt) {
     if (attempt.granted && m_now >= attempt.ends && !attempt.outcome) {
-      attempt.outcome =
-          OnceOutcome{.claim_id = attempt.claim_id,
-                      .token = token,
-                      .result = OnceResult::kWhole,
-                      .answer = {.status = 200, .body = AnswerTo(attempt.key)}};
+      attempt.outcome = IdempotencyOutcome{
+          .claim_id = attempt.claim_id,
+          .token = token,
+          .result = IdempotencyResult::kWhole,
+          .answer = {.status = 200, .body = AnswerTo(attempt.key)}};
       attempt.next_send = m_now;
     }
     if (m_now < attempt.next_send || (attempt.granted && !attempt.outcome))
@@ -196,61 +198,64 @@
       Send(node, OwnerOf(node, attempt), *attempt.outcome);
     else
       Send(node, OwnerOf(node, attempt),
-           OnceClaim{.claim_id = attempt.claim_id,
-                     .request_hash = "hash of " + attempt.key,
-                     .token = token});
+           IdempotencyClaim{.claim_id = attempt.claim_id,
+                            .request_hash = "hash of " + attempt.key,
+                            .token = token});
   }
 
   std::string OwnerOf(const Node& node, const Attempt& attempt) const {
     if (!attempt.owner.empty())
       return attempt.owner;
-    const std::uint32_t page = OncePageOf(attempt.claim_id);
-    return RendezvousOrder("once-page/" + std::to_string(page),
+    const std::uint32_t page = IdempotencyPageOf(attempt.claim_id);
+    return RendezvousOrder("idempotency-page/" + std::to_string(page),
                            node.roster.LiveRouters())
         .front();
   }
 
   void Send(const Node& from,
             const std::string& to,
-            const OnceMessage& message) {
+            const IdempotencyMessage& message) {
     m_network.Send(m_now, from.vm, from.run, to, message);
   }
 
-  void Deliver(Node& node, const FakeNetwork<OnceMessage>::Message& message) {
+  void Deliver(Node& node,
+               const FakeNetwork<IdempotencyMessage>::Message& message) {
     node.roster.Heard(message.from, message.from_run);
     const ProcessId from{.vm = message.from,
                          .incarnation = message.from_run,
                          .listed_version = node.roster.version()};
-    if (const auto* claim = std::get_if<OnceClaim>(&message.payload))
+    if (const auto* claim = std::get_if<IdempotencyClaim>(&message.payload))
       node.owner->HandleClaim(m_now, from, *claim, node.roster);
-    else if (const auto* outcome = std::get_if<OnceOutcome>(&message.payload))
+    else if (const auto* outcome =
+                 std::get_if<IdempotencyOutcome>(&message.payload))
       node.owner->HandleOutcome(m_now, from, *outcome);
-    else if (const auto* verdict = std::get_if<OnceVerdict>(&message.payload))
+    else if (const auto* verdict =
+                 std::get_if<IdempotencyVerdict>(&message.payload))
       TakeVerdict(node, *verdict);
     else
-      TakeStored(node, std::get<OnceOutcomeStored>(message.payload));
+      TakeStored(node, std::get<IdempotencyOutcomeStored>(message.payload));
     CarryOut(node);
   }
 
-  void TakeStored(Node& node, const OnceOutcomeStored& stored) {
+  void TakeStored(Node& node, const IdempotencyOutcomeStored& stored) {
     const auto found = node.attempts.find(stored.token);
     if (found != node.attempts.end() && found->second.outcome)
       node.attempts.erase(found);
   }
 
-  void TakeVerdict(Node& node, const OnceVerdict& verdict) {
+  void TakeVerdict(Node& node, const IdempotencyVerdict& verdict) {
     const auto found = node.attempts.find(verdict.token);
     if (found == node.attempts.end())
       return;
     Attempt& attempt = found->second;
-    if (verdict.kind == OnceVerdictKind::kRedirect) {
+    if (verdict.kind == IdempotencyVerdictKind::kRedirect) {
       attempt.owner = verdict.owner_vm;
       return;
     }
-    if (attempt.granted || verdict.kind == OnceVerdictKind::kInProgress)
+    if (attempt.granted || verdict.kind == IdempotencyVerdictKind::kInProgress)
       return;
     ++m_verdicts[verdict.kind];
-    if (verdict.kind == OnceVerdictKind::kGranted) {
+    if (verdict.kind == IdempotencyVerdictKind::kGranted) {
       attempt.granted = true;
       attempt.ends = m_now + milliseconds(m_random.Below(400));
       const int executions = ++m_executions[attempt.key];
@@ -258,19 +263,19 @@
       return;
     }
     // A retry gets the whole answer of the one run.
-    if (verdict.kind == OnceVerdictKind::kReplay) {
+    if (verdict.kind == IdempotencyVerdictKind::kReplay) {
       RC_ASSERT(Executions(attempt.key) == 1);
       RC_ASSERT(verdict.answer.body == AnswerTo(attempt.key));
     }
-    RC_ASSERT(verdict.kind != OnceVerdictKind::kMismatch);
+    RC_ASSERT(verdict.kind != IdempotencyVerdictKind::kMismatch);
     node.attempts.erase(found);
   }
 
   // Each "not run" is true at the instant at which it is decided: while it is
   // on its way, another open attempt with the same key may be granted.
-  void CheckNotRun(const OnceSend& send) {
-    const auto* verdict = std::get_if<OnceVerdict>(&send.message);
-    if (verdict == nullptr || verdict->kind != OnceVerdictKind::kNotRun)
+  void CheckNotRun(const IdempotencySend& send) {
+    const auto* verdict = std::get_if<IdempotencyVerdict>(&send.message);
+    if (verdict == nullptr || verdict->kind != IdempotencyVerdictKind::kNotRun)
       return;
     const Node& asker = m_nodes.at(send.vm);
     const auto attempt = asker.attempts.find(verdict->token);
@@ -279,12 +284,12 @@
   }
 
   void CarryOut(Node& node) {
-    for (OnceEffect& effect : node.owner->TakeEffects()) {
-      if (const auto* read = std::get_if<OnceReadPage>(&effect)) {
+    for (IdempotencyEffect& effect : node.owner->TakeEffects()) {
+      if (const auto* read = std::get_if<IdempotencyReadPage>(&effect)) {
         ReadPage(node, read->page);
-      } else if (auto* write = std::get_if<OnceWritePage>(&effect)) {
+      } else if (auto* write = std::get_if<IdempotencyWritePage>(&effect)) {
         WritePage(node, std::move(write->page));
-      } else if (auto* send = std::get_if<OnceSend>(&effect)) {
+      } else if (auto* send = std::get_if<IdempotencySend>(&effect)) {
         CheckNotRun(*send);
         std::visit([&](const auto& m) { Send(node, send->vm, m); },
                    send->message);
@@ -299,13 +304,13 @@
       return;
     }
     const auto stored = m_stored.find(page);
-    std::optional<OncePage> record;
+    std::optional<IdempotencyPage> record;
     if (stored != m_stored.end())
       record = stored->second;
     node.owner->PageRead(m_now, page, record, node.roster);
   }
 
-  void WritePage(Node& node, OncePage page) {
+  void WritePage(Node& node, IdempotencyPage page) {
     ++m_writes;
     const std::uint32_t number = page.page;
     const auto stored = m_stored.find(number);
@@ -327,19 +332,19 @@
 
   TimePoint m_now = TimePoint(seconds(1000));
   Random m_random;
-  FakeNetwork<OnceMessage> m_network;
+  FakeNetwork<IdempotencyMessage> m_network;
   RosterList m_list;
   std::map<std::string, Node> m_nodes;
-  std::map<std::uint32_t, OncePage> m_stored;
+  std::map<std::uint32_t, IdempotencyPage> m_stored;
   Revision m_revision = 0;
   std::map<std::string, int> m_executions;
-  std::map<OnceVerdictKind, int> m_verdicts;
+  std::map<IdempotencyVerdictKind, int> m_verdicts;
   int m_writes = 0;
   int m_reads = 0;
   int m_attempts = 0;
 };
 
-RC_GTEST_PROP(OnceHistory, RunsAtMostOnceAndTellsTheTruth, ()) {
+RC_GTEST_PROP(IdempotencyHistory, RunsAtMostOnceAndTellsTheTruth, ()) {
   const auto seed = *rc::gen::arbitrary<std::uint64_t>();
   const auto routers = *rc::gen::inRange<std::size_t>(1, 6);
   const NetworkFaults faults{
@@ -373,7 +378,7 @@
   }
 }
 
-TEST(OnceHistory, RetriesOfFinishedRequestsCostNoPlatformCalls) {
+TEST(IdempotencyHistory, RetriesOfFinishedRequestsCostNoPlatformCalls) {
   Fleet fleet(3, 5, {});
   for (int i = 0; i < 20; ++i)
     fleet.Call("r" + std::to_string(i % 3), "key-" + std::to_string(i));
@@ -383,11 +388,12 @@
     fleet.Call("r" + std::to_string(i % 3), "key-" + std::to_string(i % 20));
   fleet.Advance(seconds(3));
   EXPECT_EQ(fleet.writes() + fleet.reads(), calls);
-  EXPECT_EQ(fleet.Verdicts(OnceVerdictKind::kGranted), 20);
-  EXPECT_EQ(fleet.Verdicts(OnceVerdictKind::kReplay), 200);
+  EXPECT_EQ(fleet.Verdicts(IdempotencyVerdictKind::kGranted), 20);
+  EXPECT_EQ(fleet.Verdicts(IdempotencyVerdictKind::kReplay), 200);
 }
 
-TEST(OnceHistory, ServiceDownRefusesFirstAttemptsAndReplaysFinishedOnes) {
+TEST(IdempotencyHistory,
+     ServiceDownRefusesFirstAttemptsAndReplaysFinishedOnes) {
   Fleet fleet(3, 6, {});
   // One key only, so that its page is owned before the outage.
   fleet.Call("r0", "done");
@@ -395,23 +401,23 @@
   fleet.down = true;
   fleet.Call("r1", "done");
   fleet.Advance(seconds(3));
-  EXPECT_EQ(fleet.Verdicts(OnceVerdictKind::kReplay), 1);
+  EXPECT_EQ(fleet.Verdicts(IdempotencyVerdictKind::kReplay), 1);
   EXPECT_EQ(fleet.Executions("done"), 1);
   // A key whose page nobody has read: an earlier run can't be excluded.
   fleet.Call("r1", "never-seen");
   fleet.Advance(seconds(3));
   EXPECT_EQ(fleet.Executions("never-seen"), 0);
-  EXPECT_EQ(fleet.Verdicts(OnceVerdictKind::kUnknown), 1);
+  EXPECT_EQ(fleet.Verdicts(IdempotencyVerdictKind::kUnknown), 1);
 }
 
-TEST(OnceOwner, OwnedPageRefusesNotRunWhileTheServiceIsDown) {
+TEST(IdempotencyStore, OwnedPageRefusesNotRunWhileTheServiceIsDown) {
   const TimePoint start = TimePoint(seconds(100));
   const ProcessId self{.vm = "r0", .incarnation = 1, .listed_version = 1};
   Roster roster;
   roster.Apply(start, {.version = 1, .entries = {{.vm = "r0"}}});
-  OnceOwner owner(self);
+  IdempotencyStore owner(self);
   const std::string claim_id = ClaimIdOf("team", "key");
-  const std::uint32_t page = OncePageOf(claim_id);
+  const std::uint32_t page = IdempotencyPageOf(claim_id);
   owner.Adopt(start, page);
   owner.PageRead(start, page, std::nullopt, roster);
   owner.PageWritten(start, page, WriteOutcome::kWritten, 7, roster);
@@ -421,24 +427,24 @@
                     {.claim_id = claim_id, .request_hash = "h", .token = 1},
                     roster);
   owner.PageWritten(start, page, WriteOutcome::kUnknown, 0, roster);
-  owner.Tick(start + OnceOwner::kClaimPatience);
-  std::optional<OnceVerdict> verdict;
-  for (const OnceEffect& effect : owner.TakeEffects()) {
-    if (const auto* send = std::get_if<OnceSend>(&effect))
-      verdict = std::get<OnceVerdict>(send->message);
+  owner.Tick(start + IdempotencyStore::kClaimPatience);
+  std::optional<IdempotencyVerdict> verdict;
+  for (const IdempotencyEffect& effect : owner.TakeEffects()) {
+    if (const auto* send = std::get_if<IdempotencySend>(&effect))
+      verdict = std::get<IdempotencyVerdict>(send->message);
   }
   ASSERT_TRUE(verdict);
-  EXPECT_EQ(verdict->kind, OnceVerdictKind::kNotRun);
+  EXPECT_EQ(verdict->kind, IdempotencyVerdictKind::kNotRun);
 }
 
-TEST(OnceOwner, AnotherRequestUnderTheSameKeyIsRefused) {
+TEST(IdempotencyStore, AnotherRequestUnderTheSameKeyIsRefused) {
   const TimePoint start = TimePoint(seconds(100));
   const ProcessId self{.vm = "r0", .incarnation = 1, .listed_version = 1};
   Roster roster;
   roster.Apply(start, {.version = 1, .entries = {{.vm = "r0"}}});
-  OnceOwner owner(self);
+  IdempotencyStore owner(self);
   const std::string claim_id = ClaimIdOf("team", "key");
-  const std::uint32_t page = OncePageOf(claim_id);
+  const std::uint32_t page = IdempotencyPageOf(claim_id);
   owner.HandleClaim(start, self,
                     {.claim_id = claim_id, .request_hash = "a", .token = 1},
                     roster);
@@ -448,11 +454,11 @@
   owner.HandleClaim(start, self,
                     {.claim_id = claim_id, .request_hash = "b", .token = 2},
                     roster);
-  const std::vector<OnceEffect> effects = owner.TakeEffects();
+  const std::vector<IdempotencyEffect> effects = owner.TakeEffects();
   ASSERT_EQ(effects.size(), 1U);
-  const auto& verdict =
-      std::get<OnceVerdict>(std::get<OnceSend>(effects[0]).message);
-  EXPECT_EQ(verdict.kind, OnceVerdictKind::kMismatch);
+  const auto& verdict = std::get<IdempotencyVerdict>(
+      std::get<IdempotencySend>(effects[0]).message);
+  EXPECT_EQ(verdict.kind, IdempotencyVerdictKind::kMismatch);
 }
 
 }  // namespace
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -56,12 +56,13 @@
                .wanted = 3,
                .closed = {{.number = 1, .unspent = 1}}},
       QuotaLoan{.team = "t", .number = 2, .tokens = 3},
-      OnceClaim{.claim_id = "c", .request_hash = "h", .token = 3},
-      OnceVerdict{.token = 3,
-                  .kind = OnceVerdictKind::kReplay,
-                  .answer = {.status = 200, .body = "b"}},
-      OnceOutcome{.claim_id = "c", .token = 3, .result = OnceResult::kWhole},
-      OnceOutcomeStored{.token = 3},
+      IdempotencyClaim{.claim_id = "c", .request_hash = "h", .token = 3},
+      IdempotencyVerdict{.token = 3,
+                         .kind = IdempotencyVerdictKind::kReplay,
+                         .answer = {.status = 200, .body = "b"}},
+      IdempotencyOutcome{
+          .claim_id = "c", .token = 3, .result = IdempotencyResult::kWhole},
+      IdempotencyOutcomeStored{.token = 3},
       CrashNotice{.fingerprint = 5, .crash = "w/1"},
       SlotAsk{.number = 1, .pool = "weights", .priority = Priority::kBatch},
       SlotGrant{.number = 1, .pool = "weights", .granted = false},
@@ -128,7 +129,7 @@
   MustNotBreak([&] { DecodeDocument(bytes); });
   MustNotBreak([&] { DecodeWatchLine(bytes); });
   MustNotBreak([&] { DecodeFeedSnapshot(bytes); });
-  MustNotBreak([&] { DecodeOncePage(bytes, 1); });
+  MustNotBreak([&] { DecodeIdempotencyPage(bytes, 1); });
   MustNotBreak([&] { ParseSettings(bytes, "file"); });
   MustNotBreak([&] {
     DecodeCall({.method = "POST",
@@ -171,17 +172,18 @@
             std::string::npos);
 }
 
-TEST(RecordCodec, AOncePageComesBack) {
-  OncePage page{.page = 3,
-                .owner = {.vm = "r1", .incarnation = 2, .listed_version = 4},
-                .last_order = 9};
+TEST(RecordCodec, AnIdempotencyPageComesBack) {
+  IdempotencyPage page{
+      .page = 3,
+      .owner = {.vm = "r1", .incarnation = 2, .listed_version = 4},
+      .last_order = 9};
   page.entries["id"] = {.state = ClaimState::kDone,
                         .request_hash = "h",
                         .token = 5,
                         .answer_kept = true,
                         .answer = {.status = 200, .body = "x"},
                         .order = 9};
-  const OncePage decoded = DecodeOncePage(EncodeValue(page), 12);
+  const IdempotencyPage decoded = DecodeIdempotencyPage(EncodeValue(page), 12);
   EXPECT_EQ(decoded.revision, 12);
   EXPECT_EQ(decoded.owner, page.owner);
   EXPECT_EQ(decoded.entries.at("id").answer, page.entries.at("id").answer);
--- a/source/wire/peer_codec.cc
+++ b/source/wire/peer_codec.cc
@@ -262,54 +262,54 @@
   return {.team = in.team(), .number = in.number(), .tokens = in.tokens()};
 }
 
-void Put(const OnceClaim& message, wire::Envelope& envelope) {
-  wire::OnceClaim& out = *envelope.mutable_once_claim();
+void Put(const IdempotencyClaim& message, wire::Envelope& envelope) {
+  wire::IdempotencyClaim& out = *envelope.mutable_idempotency_claim();
   out.set_claim_id(message.claim_id);
   out.set_request_hash(message.request_hash);
   out.set_token(message.token);
 }
 
-OnceClaim Get(wire::OnceClaim& in) {
+IdempotencyClaim Get(wire::IdempotencyClaim& in) {
   return {.claim_id = in.claim_id(),
           .request_hash = in.request_hash(),
           .token = in.token()};
 }
 
-void Put(const OnceVerdict& message, wire::Envelope& envelope) {
-  wire::OnceVerdict& out = *envelope.mutable_once_verdict();
+void Put(const IdempotencyVerdict& message, wire::Envelope& envelope) {
+  wire::IdempotencyVerdict& out = *envelope.mutable_idempotency_verdict();
   out.set_token(message.token);
   out.set_kind(Number(message.kind));
   ToWire(message.answer, *out.mutable_answer());
   out.set_owner_vm(message.owner_vm);
 }
 
-OnceVerdict Get(wire::OnceVerdict& in) {
+IdempotencyVerdict Get(wire::IdempotencyVerdict& in) {
   return {.token = in.token(),
-          .kind = CheckedEnum(in.kind(), kOnceVerdictNames),
+          .kind = CheckedEnum(in.kind(), kIdempotencyVerdictNames),
           .answer = FromWire(in.answer()),
           .owner_vm = in.owner_vm()};
 }
 
-void Put(const OnceOutcome& message, wire::Envelope& envelope) {
-  wire::OnceOutcome& out = *envelope.mutable_once_outcome();
+void Put(const IdempotencyOutcome& message, wire::Envelope& envelope) {
+  wire::IdempotencyOutcome& out = *envelope.mutable_idempotency_outcome();
   out.set_claim_id(message.claim_id);
   out.set_token(message.token);
   out.set_result(Number(message.result));
   ToWire(message.answer, *out.mutable_answer());
 }
 
-OnceOutcome Get(wire::OnceOutcome& in) {
+IdempotencyOutcome Get(wire::IdempotencyOutcome& in) {
   return {.claim_id = in.claim_id(),
           .token = in.token(),
-          .result = CheckedEnum(in.result(), kOnceResultNames),
+          .result = CheckedEnum(in.result(), kIdempotencyResultNames),
           .answer = FromWire(in.answer())};
 }
 
-void Put(const OnceOutcomeStored& message, wire::Envelope& envelope) {
-  envelope.mutable_once_outcome_stored()->set_token(message.token);
+void Put(const IdempotencyOutcomeStored& message, wire::Envelope& envelope) {
+  envelope.mutable_idempotency_outcome_stored()->set_token(message.token);
 }
 
-OnceOutcomeStored Get(wire::OnceOutcomeStored& in) {
+IdempotencyOutcomeStored Get(wire::IdempotencyOutcomeStored& in) {
   return {.token = in.token()};
 }
 
@@ -436,14 +436,14 @@
       return Get(*envelope.mutable_quota_ask());
     case Body::kQuotaLoan:
       return Get(*envelope.mutable_quota_loan());
-    case Body::kOnceClaim:
-      return Get(*envelope.mutable_once_claim());
-    case Body::kOnceVerdict:
-      return Get(*envelope.mutable_once_verdict());
-    case Body::kOnceOutcome:
-      return Get(*envelope.mutable_once_outcome());
-    case Body::kOnceOutcomeStored:
-      return Get(*envelope.mutable_once_outcome_stored());
+    case Body::kIdempotencyClaim:
+      return Get(*envelope.mutable_idempotency_claim());
+    case Body::kIdempotencyVerdict:
+      return Get(*envelope.mutable_idempotency_verdict());
+    case Body::kIdempotencyOutcome:
+      return Get(*envelope.mutable_idempotency_outcome());
+    case Body::kIdempotencyOutcomeStored:
+      return Get(*envelope.mutable_idempotency_outcome_stored());
     case Body::kCrashNotice:
       return Get(*envelope.mutable_crash_notice());
     case Body::kSlotAsk:
--- a/source/wire/record_codec.cc
+++ b/source/wire/record_codec.cc
@@ -85,8 +85,8 @@
          std::to_string(page);
 }
 
-std::string OnceKey(std::uint32_t page) {
-  return kOncePrefix + std::to_string(page);
+std::string IdempotencyKey(std::uint32_t page) {
+  return kIdempotencyPrefix + std::to_string(page);
 }
 
 void ToWire(const ProcessId& process, wire::ProcessId& out) {
@@ -302,13 +302,13 @@
           .incarnation = in.incarnation()};
 }
 
-std::string EncodeValue(const OncePage& page) {
-  wire::OncePage out;
+std::string EncodeValue(const IdempotencyPage& page) {
+  wire::IdempotencyPage out;
   out.set_page(page.page);
   ToWire(page.owner, *out.mutable_owner());
   out.set_last_order(page.last_order);
   for (const auto& [id, entry] : page.entries) {
-    wire::OnceEntry& added = *out.add_entries();
+    wire::IdempotencyEntry& added = *out.add_entries();
     added.set_claim_id(id);
     added.set_state(static_cast<std::uint32_t>(entry.state));
     added.set_request_hash(entry.request_hash);
@@ -353,18 +353,19 @@
   return StoredFromWire(resource, revision);
 }
 
-OncePage DecodeOncePage(const std::string& value, Revision revision) {
-  wire::OncePage in;
+IdempotencyPage DecodeIdempotencyPage(const std::string& value,
+                                      Revision revision) {
+  wire::IdempotencyPage in;
   if (!in.ParseFromString(value))
-    throw Error(Step::kDecodePlatformReply, "once page",
+    throw Error(Step::kDecodePlatformReply, "idempotency page",
                 "expected a page of claims");
-  OncePage page{.page = in.page(),
-                .revision = revision,
-                .owner = FromWire(in.owner()),
-                .last_order = in.last_order()};
-  for (const wire::OnceEntry& entry : in.entries()) {
+  IdempotencyPage page{.page = in.page(),
+                       .revision = revision,
+                       .owner = FromWire(in.owner()),
+                       .last_order = in.last_order()};
+  for (const wire::IdempotencyEntry& entry : in.entries()) {
     if (entry.state() >= kClaimStateNames.rows.size())
-      throw Error(Step::kDecodePlatformReply, "once page",
+      throw Error(Step::kDecodePlatformReply, "idempotency page",
                   "unknown state of a claim");
     page.entries[entry.claim_id()] = {
         .state = static_cast<ClaimState>(entry.state()),
--- a/source/wire/record_codec.h
+++ b/source/wire/record_codec.h
@@ -9,7 +9,7 @@
 
 #include "common/error.h"
 #include "core/feed/feed_item.h"
-#include "core/once/once_page.h"
+#include "core/idempotency/idempotency_page.h"
 #include "core/roster/roster_entry.h"
 #include "core/serving/serving_fleet.h"
 #include "wire/generated/boragepick.pb.h"
@@ -19,7 +19,7 @@
 // Everything that the feed carries stands under this prefix; other records
 // stand outside it.
 inline constexpr const char* kFeedPrefix = "/boragepick/feed/";
-inline constexpr const char* kOncePrefix = "/boragepick/once/";
+inline constexpr const char* kIdempotencyPrefix = "/boragepick/idempotency/";
 
 // The records of routers, each under a lease of its own.
 inline constexpr const char* kRouterPrefix = "/boragepick/routers/";
@@ -30,7 +30,7 @@
 std::string ResourceKey(ResourceKind kind, const std::string& name);
 std::string PermitKey(const std::string& model);
 std::string ShareKey(std::uint32_t page);
-std::string OnceKey(std::uint32_t page);
+std::string IdempotencyKey(std::uint32_t page);
 
 void ToWire(const ProcessId& process, wire::ProcessId& out);
 ProcessId FromWire(const wire::ProcessId& in);
@@ -55,7 +55,7 @@
 std::string EncodeValue(const SharePage& page);
 std::string EncodeValue(const RouterRecord& record);
 // Pages of claims are large and written often: protobuf's binary form.
-std::string EncodeValue(const OncePage& page);
+std::string EncodeValue(const IdempotencyPage& page);
 
 // Throws Error at Step::kDecodePlatformReply.
 FeedItem DecodeFeedValue(const std::string& key,
@@ -63,7 +63,8 @@
                          Revision revision);
 Resource DecodeResource(const std::string& value, Revision revision);
 RouterRecord DecodeRouterRecord(const std::string& value);
-OncePage DecodeOncePage(const std::string& value, Revision revision);
+IdempotencyPage DecodeIdempotencyPage(const std::string& value,
+                                      Revision revision);
 
 // Protobuf's JSON form, with the field names of the .proto file.
 std::string ToJson(const google::protobuf::Message& message);
