--- a/examples/embed/embed.cc
+++ b/examples/embed/embed.cc
@@ -1,9 +1,9 @@
 // Embeds two parts of the library into a program of its own: a divided quota
-// from which two admission points borrow, and once-claims kept in a record that
-// the program itself stores. No daemon, no socket, no clock.
+// from which two admission points borrow, and idempotency claims kept in a
+// record that the program itself stores. No daemon, no socket, no clock.
 
-#include <boragepick/core/once/once_owner.h>
-#include <boragepick/core/quota/quota_desk.h>
+#include <boragepick/core/idempotency/idempotency_store.h>
+#include <boragepick/core/quota/quota_manager.h>
 
 #include <chrono>
 #include <iostream>
@@ -24,10 +24,10 @@
   const TeamSpec team{.rate_tokens_per_second = 100, .burst_tokens = 1000};
   Roster roster;
   roster.Apply(start, {.version = 1, .entries = {{.vm = "a"}}});
-  QuotaDesk holder({.vm = "a", .incarnation = 1, .listed_version = 1});
-  QuotaDesk borrower({.vm = "b", .incarnation = 1, .listed_version = 1});
-  holder.SetTeam(start, "team", team, QuotaDesk::TeamOrigin::kCreated);
-  borrower.SetTeam(start, "team", team, QuotaDesk::TeamOrigin::kCreated);
+  QuotaManager holder({.vm = "a", .incarnation = 1, .listed_version = 1});
+  QuotaManager borrower({.vm = "b", .incarnation = 1, .listed_version = 1});
+  holder.SetTeam(start, "team", team, QuotaManager::TeamOrigin::kCreated);
+  borrower.SetTeam(start, "team", team, QuotaManager::TeamOrigin::kCreated);
 
   std::optional<SharePage> page = holder.PlanPage(start, roster, false);
   // The program would write the page by compare-and-swap; here it succeeds.
@@ -52,24 +52,26 @@
   const ProcessId self{.vm = "a", .incarnation = 1, .listed_version = 1};
   Roster roster;
   roster.Apply(now, {.version = 1, .entries = {{.vm = "a"}}});
-  OnceOwner owner(self);
-  OncePage stored;
+  IdempotencyStore owner(self);
+  IdempotencyPage stored;
   int granted = 0;
   int replayed = 0;
   const auto carry_out = [&] {
     for (auto effects = owner.TakeEffects(); !effects.empty();
          effects = owner.TakeEffects()) {
-      for (OnceEffect& effect : effects) {
-        if (const auto* read = std::get_if<OnceReadPage>(&effect)) {
+      for (IdempotencyEffect& effect : effects) {
+        if (const auto* read = std::get_if<IdempotencyReadPage>(&effect)) {
           owner.PageRead(now, read->page, std::nullopt, roster);
-        } else if (auto* write = std::get_if<OnceWritePage>(&effect)) {
+        } else if (auto* write = std::get_if<IdempotencyWritePage>(&effect)) {
           stored = std::move(write->page);
           owner.PageWritten(now, stored.page, WriteOutcome::kWritten,
                             ++stored.revision, roster);
-        } else if (const auto* send = std::get_if<OnceSend>(&effect)) {
-          const auto* verdict = std::get_if<OnceVerdict>(&send->message);
-          granted += verdict && verdict->kind == OnceVerdictKind::kGranted;
-          replayed += verdict && verdict->kind == OnceVerdictKind::kReplay;
+        } else if (const auto* send = std::get_if<IdempotencySend>(&effect)) {
+          const auto* verdict = std::get_if<IdempotencyVerdict>(&send->message);
+          granted +=
+              verdict && verdict->kind == IdempotencyVerdictKind::kGranted;
+          replayed +=
+              verdict && verdict->kind == IdempotencyVerdictKind::kReplay;
         }
       }
     }
@@ -81,7 +83,7 @@
   owner.HandleOutcome(now, self,
                       {.claim_id = claim,
                        .token = 1,
-                       .result = OnceResult::kWhole,
+                       .result = IdempotencyResult::kWhole,
                        .answer = {.status = 200, .body = "receipt"}});
   carry_out();
   owner.HandleClaim(
