Keep to the connections that a worker takes

Cause: the limit of connections to a worker was read from the configuration and not used, nor were the sizes of caches and the time of slow starts. A worker resets what is beyond its limit.

Ruled out: dividing the limit evenly over the routers; callers spread unevenly, so a router may have one and a half times its part.

Change: workers at the limit are passed over, a request waits for a place.

--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -12,6 +12,9 @@
 constexpr std::size_t kPreparedFromStore = 4;
 // Loads into free memory begun at a time.
 constexpr std::size_t kPreparedAtOnce = 12;
+// Callers spread unevenly over routers: one may have so many times its part of
+// a worker's connections.
+constexpr double kUnevenLoad = 1.5;
 // Sendings of one request, rejected ones included.
 constexpr std::uint32_t kMaxSends = 5;
 // A held request looks again for a worker after so long at the latest.
@@ -179,11 +182,24 @@
 std::vector<Worker*> RequestTable::UsableWorkers(TimePoint now,
                                                  const std::string& service) {
   std::vector<Worker*> workers = m_state.workers.OfService(service);
-  std::erase_if(workers,
-                [now](const Worker* worker) { return !worker->Usable(now); });
+  const std::uint32_t limit = ConnectionLimit(service);
+  std::erase_if(workers, [now, limit](const Worker* worker) {
+    return !worker->Usable(now) || worker->running >= limit;
+  });
   return workers;
 }
 
+std::uint32_t RequestTable::ConnectionLimit(const std::string& service) const {
+  const ServingService* spec = m_state.config->FindService(service);
+  if (spec == nullptr)
+    return 0;
+  const auto routers = static_cast<double>(
+      std::max<std::size_t>(1, m_state.fleet.RouterCount()));
+  const double part = spec->max_connections / routers * kUnevenLoad;
+  return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(part), 1,
+                                   std::max(1U, spec->max_connections));
+}
+
 std::uint32_t RequestTable::WaitingFor(const std::string& weights) const {
   const auto found = m_waiting.find(weights);
   return found == m_waiting.end() ? 1 : found->second;
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -104,6 +104,9 @@
                const std::vector<Worker*>& workers,
                const WeightsNeed& need,
                const std::string& reason);
+  // Connections that this router may have to one worker of the service: a
+  // worker resets those beyond its limit.
+  std::uint32_t ConnectionLimit(const std::string& service) const;
   std::vector<Worker*> UsableWorkers(TimePoint now, const std::string& service);
   std::uint32_t WaitingFor(const std::string& weights) const;
   void Unhold(const Exchange& exchange);
--- a/source/core/serving/serving_config.h
+++ b/source/core/serving/serving_config.h
@@ -70,8 +70,6 @@
 struct EngineSpec {
   // Requests that run at once.
   std::uint32_t slots = 1;
-  // Tokens of prompts and answers that fit into a worker's cache.
-  std::uint64_t cache_tokens = 0;
   // For weights and adapters together.
   double memory_mb = 0;
   std::uint32_t adapter_slots = 0;
--- a/source/core/serving/worker_entry.h
+++ b/source/core/serving/worker_entry.h
@@ -50,8 +50,6 @@
   std::string data_centre;
   WorkerState state = WorkerState::kReady;
   std::uint32_t slots = 1;
-  // While it still serves slowly after its start.
-  Duration cold_for = Duration::zero();
   EngineContents contents;
 };
 
--- a/source/unit_tests/core/serving/serving_fixture.h
+++ b/source/unit_tests/core/serving/serving_fixture.h
@@ -50,8 +50,7 @@
                     .splits = {{.service = "plain"}},
                     .max_attempts = 2,
                     .open_to_all = true}};
-  EngineSpec engine{
-      .slots = 8, .cache_tokens = 1'000, .memory_mb = 100, .adapter_slots = 2};
+  EngineSpec engine{.slots = 8, .memory_mb = 100, .adapter_slots = 2};
   for (const char* name : {"m1", "m2", "m3"})
     engine.models[name] = {.name = name, .memory_mb = 40, .adapter_mb = 1};
   config.services["engines"] = {.name = "engines", .engine = engine};
--- a/source/unit_tests/core/serving/serving_router_test.cc
+++ b/source/unit_tests/core/serving/serving_router_test.cc
@@ -390,6 +390,22 @@
   EXPECT_EQ(other.Take<AnswerRefused>().back().code, "breaks_workers");
 }
 
+// A worker resets connections beyond its limit: what is beyond waits or goes to
+// another.
+TEST(ServingRouter, KeepsToTheConnectionsOfAWorker) {
+  ServingConfig config = SmallConfig();
+  config.services["plain"].max_connections = 3;
+  ServingFixture fixture;
+  fixture.Begin(config);
+  for (int i = 0; i < 8; ++i)
+    fixture.Arrive("/book/1");
+  std::map<std::string, int> sent;
+  for (const SendAttempt& attempt : fixture.Take<SendAttempt>())
+    ++sent[attempt.worker];
+  EXPECT_EQ(sent["p1"], 3);
+  EXPECT_EQ(sent["p2"], 3);
+}
+
 TEST(ServingRouter, RetriesStayWithinTheBudget) {
   ServingFixture fixture({.vm = "r1",
                           .data_centre = "a",
