Six routers hold a share of each page in small fleets, not sixteen

Ruled out: fewer pages (fewer teams a page keeps a team's borrowers apart at the size to design for). From 384 routers on nothing changes: there one in 64 holds a share.

--- a/source/core/quota/share_page.h
+++ b/source/core/quota/share_page.h
@@ -19,8 +19,9 @@
 inline constexpr std::uint32_t kSharePageCount = 64;
 
 // Up to so many routers each hold a share of every page; in larger fleets one
-// router in kRoutersPerShareHolder does, and the others borrow.
-inline constexpr std::size_t kMinShareHolders = 16;
+// router in kRoutersPerShareHolder does, and the others borrow. A page is
+// written some three times for each holder that starts.
+inline constexpr std::size_t kMinShareHolders = 6;
 inline constexpr std::size_t kMaxShareHolders = 32;
 inline constexpr std::size_t kRoutersPerShareHolder = 64;
 
