--- a/source/core/serving/load_planner.cc
+++ b/source/core/serving/load_planner.cc
@@ -308,7 +308,8 @@
               .waiting = need.waiting,
               .milli_requests = Thousandths(Demand(now, need.model)),
               .values = ValuesOf(now, workers, *best)},
-      .expected = expected};
+      .expected = expected,
+      .again = best->entry.id == keep};
 }
 
 std::vector<std::string> LoadPlanner::NowhereAtHand(
--- a/source/core/serving/load_planner.h
+++ b/source/core/serving/load_planner.h
@@ -24,6 +24,8 @@
   LoadAsk ask;
   // Until the weights may be expected to be there.
   Duration expected = Duration::zero();
+  // The same worker was asked before.
+  bool again = false;
 };
 
 // One need of weights: a model, or an adapter of it.
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -141,19 +141,26 @@
   const auto planned = m_loads.Plan(now, engine, workers, need);
   if (!planned)
     return;
-  m_state.Log(
-      LogEvent::kLoadAsked,
-      {{"request", reason},
-       {"weights", WeightsName(planned->ask.model, planned->ask.adapter)},
-       {"worker", planned->worker},
-       {"waiting", std::to_string(need.waiting)},
-       {"expected_ms", Milliseconds(planned->expected)}});
+  // why: asking the same worker again is no new decision
+  if (!planned->again)
+    LogAsk(need, *planned, reason);
   m_state.Emit(SendToEndpoint{
       .endpoint = IpOf(planned->address) + ":" +
                   std::to_string(m_state.options.controller_port),
       .message = planned->ask});
 }
 
+void RequestTable::LogAsk(const WeightsNeed& need,
+                          const PlannedLoad& planned,
+                          const std::string& reason) {
+  m_state.Log(LogEvent::kLoadAsked,
+              {{"request", reason},
+               {"weights", WeightsName(planned.ask.model, planned.ask.adapter)},
+               {"worker", planned.worker},
+               {"waiting", std::to_string(need.waiting)},
+               {"expected_ms", Milliseconds(planned.expected)}});
+}
+
 void RequestTable::PrepareModels(TimePoint now) {
   if (!m_state.config)
     return;
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -108,6 +108,9 @@
   // worker resets those beyond its limit.
   std::uint32_t ConnectionLimit(const std::string& service) const;
   std::vector<Worker*> UsableWorkers(TimePoint now, const std::string& service);
+  void LogAsk(const WeightsNeed& need,
+              const PlannedLoad& planned,
+              const std::string& reason);
   std::uint32_t WaitingFor(const std::string& weights) const;
   void Unhold(const Exchange& exchange);
   void Hold(TimePoint now, Exchange& exchange, const std::string& why);
