--- a/source/common/time.h
+++ b/source/common/time.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <chrono>
+#include <string>
 
 namespace boragepick {
 
@@ -28,4 +29,10 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+// Whole milliseconds, for fields of log lines.
+inline std::string MillisecondsText(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 }  // namespace boragepick
--- a/source/core/engine/engine_controller.cc
+++ b/source/core/engine/engine_controller.cc
@@ -214,7 +214,7 @@
       {{"operation", std::string(kOrderKindNames.Name(m_order->order.kind))},
        {"weights", WeightsName(m_order->order.model, m_order->order.adapter)},
        {"outcome", std::string(kOrderOutcomeNames.Name(event.outcome))},
-       {"after_ms", std::to_string((now - m_order->sent).count() / 1'000)}});
+       {"after_ms", MillisecondsText(now - m_order->sent)}});
   // why: what an order has changed is only known from the engine's account
   m_next_read = now;
   if (event.outcome != OrderOutcome::kRefused &&
@@ -280,7 +280,7 @@
       {{"operation", std::string(kOrderKindNames.Name(order.kind))},
        {"weights", WeightsName(order.model, order.adapter)},
        {"for", WeightsName(need.model, need.adapter)},
-       {"waited_ms", std::to_string((now - need.first_asked).count() / 1'000)},
+       {"waited_ms", MillisecondsText(now - need.first_asked)},
        {"orders", std::to_string(order.precondition)},
        {"used_mb", std::to_string(static_cast<std::int64_t>(UsedMb()))}});
   const bool unloads = order.kind == OrderKind::kUnload;
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -7,11 +7,6 @@
 
 namespace {
 
-// Loads from the weight store that routers have going before anybody asks: as
-// many as the store bears at full speed.
-constexpr std::size_t kPreparedFromStore = 4;
-// Loads into free memory begun at a time.
-constexpr std::size_t kPreparedAtOnce = 12;
 // Callers spread unevenly over routers: one may have so many times its part of
 // a worker's connections.
 constexpr double kUnevenLoad = 1.5;
@@ -25,8 +20,6 @@
 // A silent run that nobody else could take over is looked at again after so
 // long.
 constexpr Duration kSilenceCheck = std::chrono::milliseconds(200);
-// Another worker should load a model whose holders make a request wait longer.
-constexpr Duration kSpreadAbove = std::chrono::milliseconds(250);
 // A request that may be repeated is sent elsewhere when nothing has come for
 // this many times its objective.
 constexpr int kSilentObjectives = 2;
@@ -45,10 +38,6 @@
   return status >= 200 && status < 300;
 }
 
-std::string Milliseconds(Duration duration) {
-  return std::to_string(duration.count() / 1'000);
-}
-
 }  // namespace
 
 WorkerChoiceInput RequestTable::ChoiceInput(const Exchange& exchange) const {
@@ -92,100 +81,6 @@
                     std::span<Worker* const>(fresh.empty() ? workers : fresh)));
 }
 
-void RequestTable::DispatchToEngine(TimePoint now,
-                                    Exchange& exchange,
-                                    const EngineSpec& engine,
-                                    std::vector<Worker*> workers) {
-  const ServingRequest& request = *exchange.request;
-  std::vector<Worker*> holders;
-  for (Worker* worker : workers) {
-    const bool holds = worker->contents.Holds(request.model, request.adapter) &&
-                       !exchange.tried.contains(worker->entry.id);
-    if (holds)
-      holders.push_back(worker);
-  }
-  const WorkerChoice choice = ChooseWorker(m_policy, ChoiceInput(exchange),
-                                           std::span<Worker* const>(holders));
-  if (choice.worker == nullptr) {
-    AskForWeights(now, exchange, engine, workers);
-    return Hold(now, exchange, "model_not_loaded");
-  }
-  if (choice.cost > kSpreadAbove && request.adapter.empty())
-    AskForWeights(now, exchange, engine, workers);
-  else
-    m_loads.Settle(request.model, request.adapter);
-  Send(now, exchange, choice);
-}
-
-void RequestTable::AskForWeights(TimePoint now,
-                                 const Exchange& exchange,
-                                 const EngineSpec& engine,
-                                 const std::vector<Worker*>& workers) {
-  const ServingRequest& request = *exchange.request;
-  const bool model_loaded =
-      std::ranges::any_of(workers, [&request](const Worker* worker) {
-        return worker->contents.Find(request.model) != nullptr;
-      });
-  AskLoad(now, engine, workers,
-          {.model = request.model,
-           .adapter = model_loaded ? request.adapter : std::string(),
-           .waiting = WaitingFor(exchange.weights)},
-          request.trace_id);
-}
-
-void RequestTable::AskLoad(TimePoint now,
-                           const EngineSpec& engine,
-                           const std::vector<Worker*>& workers,
-                           const WeightsNeed& need,
-                           const std::string& reason) {
-  const auto planned = m_loads.Plan(now, engine, workers, need);
-  if (!planned)
-    return;
-  // why: asking the same worker again is no new decision
-  if (!planned->again)
-    LogAsk(need, *planned, reason);
-  m_state.Emit(SendToEndpoint{
-      .endpoint = IpOf(planned->address) + ":" +
-                  std::to_string(m_state.options.controller_port),
-      .message = planned->ask});
-}
-
-void RequestTable::LogAsk(const WeightsNeed& need,
-                          const PlannedLoad& planned,
-                          const std::string& reason) {
-  m_state.Log(LogEvent::kLoadAsked,
-              {{"request", reason},
-               {"weights", WeightsName(planned.ask.model, planned.ask.adapter)},
-               {"worker", planned.worker},
-               {"waiting", std::to_string(need.waiting)},
-               {"expected_ms", Milliseconds(planned.expected)}});
-}
-
-void RequestTable::PrepareModels(TimePoint now) {
-  if (!m_state.config)
-    return;
-  for (const auto& [name, service] : m_state.config->config().services) {
-    if (!service.engine)
-      continue;
-    const std::vector<Worker*> workers = UsableWorkers(now, name);
-    const std::span<Worker* const> all(workers);
-    std::vector<std::string> missing =
-        LoadPlanner::NowhereAtHand(*service.engine, all);
-    if (missing.size() > kPreparedFromStore)
-      missing.resize(kPreparedFromStore);
-    // why: these count as waited for, so that they may take another's place
-    for (const std::string& model : missing)
-      AskLoad(now, *service.engine, workers, {.model = model, .waiting = 1},
-              "preparation");
-    std::vector<std::string> idle =
-        LoadPlanner::WorthLoading(*service.engine, all);
-    if (idle.size() > kPreparedAtOnce)
-      idle.resize(kPreparedAtOnce);
-    for (const std::string& model : idle)
-      AskLoad(now, *service.engine, workers, {.model = model}, "preparation");
-  }
-}
-
 std::vector<Worker*> RequestTable::UsableWorkers(TimePoint now,
                                                  const std::string& service) {
   std::vector<Worker*> workers = m_state.workers.OfService(service);
@@ -285,10 +180,10 @@
                {"weights", exchange.weights},
                {"worker", worker.entry.id},
                {"tokens", std::to_string(exchange.cost)},
-               {"cost_ms", Milliseconds(choice.cost)},
+               {"cost_ms", MillisecondsText(choice.cost)},
                {"running", std::to_string(worker.running)},
                {"send", std::to_string(exchange.sends)},
-               {"after_ms", Milliseconds(now - exchange.arrived)}});
+               {"after_ms", MillisecondsText(now - exchange.arrived)}});
   const bool repeatable = exchange.route->Repeatable();
   m_state.Emit(SendAttempt{.attempt = attempt.number,
                            .request = exchange.request,
@@ -478,7 +373,7 @@
                {"status", std::to_string(attempt.head->status)},
                {"worker", attempt.worker},
                {"sends", std::to_string(exchange.sends)},
-               {"after_ms", Milliseconds(now - exchange.arrived)}});
+               {"after_ms", MillisecondsText(now - exchange.arrived)}});
   if (exchange.committed) {
     m_state.Emit(AnswerEnded{.id = exchange.request->id});
   } else {
--- /dev/null
+++ b/source/core/serving/request_loads.cc
@@ -0,0 +1,115 @@
+// What RequestTable has loaded: the models and adapters of waiting requests,
+// and those that will be asked for.
+#include <algorithm>
+
+#include "core/serving/request_table.h"
+
+namespace boragepick {
+
+namespace {
+
+// Loads from the weight store that routers have going before anybody asks: as
+// many as the store bears at full speed.
+constexpr std::size_t kPreparedFromStore = 4;
+// Loads into free memory begun at a time.
+constexpr std::size_t kPreparedAtOnce = 12;
+// Another worker should load a model whose holders make a request wait longer.
+constexpr Duration kSpreadAbove = std::chrono::milliseconds(250);
+
+}  // namespace
+
+void RequestTable::DispatchToEngine(TimePoint now,
+                                    Exchange& exchange,
+                                    const EngineSpec& engine,
+                                    std::vector<Worker*> workers) {
+  const ServingRequest& request = *exchange.request;
+  std::vector<Worker*> holders;
+  for (Worker* worker : workers) {
+    const bool holds = worker->contents.Holds(request.model, request.adapter) &&
+                       !exchange.tried.contains(worker->entry.id);
+    if (holds)
+      holders.push_back(worker);
+  }
+  const WorkerChoice choice = ChooseWorker(m_policy, ChoiceInput(exchange),
+                                           std::span<Worker* const>(holders));
+  if (choice.worker == nullptr) {
+    AskForWeights(now, exchange, engine, workers);
+    return Hold(now, exchange, "model_not_loaded");
+  }
+  if (choice.cost > kSpreadAbove && request.adapter.empty())
+    AskForWeights(now, exchange, engine, workers);
+  else
+    m_loads.Settle(request.model, request.adapter);
+  Send(now, exchange, choice);
+}
+
+void RequestTable::AskForWeights(TimePoint now,
+                                 const Exchange& exchange,
+                                 const EngineSpec& engine,
+                                 const std::vector<Worker*>& workers) {
+  const ServingRequest& request = *exchange.request;
+  const bool model_loaded =
+      std::ranges::any_of(workers, [&request](const Worker* worker) {
+        return worker->contents.Find(request.model) != nullptr;
+      });
+  AskLoad(now, engine, workers,
+          {.model = request.model,
+           .adapter = model_loaded ? request.adapter : std::string(),
+           .waiting = WaitingFor(exchange.weights)},
+          request.trace_id);
+}
+
+void RequestTable::AskLoad(TimePoint now,
+                           const EngineSpec& engine,
+                           const std::vector<Worker*>& workers,
+                           const WeightsNeed& need,
+                           const std::string& reason) {
+  const auto planned = m_loads.Plan(now, engine, workers, need);
+  if (!planned)
+    return;
+  // why: asking the same worker again is no new decision
+  if (!planned->again)
+    LogAsk(need, *planned, reason);
+  m_state.Emit(SendToEndpoint{
+      .endpoint = IpOf(planned->address) + ":" +
+                  std::to_string(m_state.options.controller_port),
+      .message = planned->ask});
+}
+
+void RequestTable::LogAsk(const WeightsNeed& need,
+                          const PlannedLoad& planned,
+                          const std::string& reason) {
+  m_state.Log(LogEvent::kLoadAsked,
+              {{"request", reason},
+               {"weights", WeightsName(planned.ask.model, planned.ask.adapter)},
+               {"worker", planned.worker},
+               {"waiting", std::to_string(need.waiting)},
+               {"expected_ms", MillisecondsText(planned.expected)}});
+}
+
+void RequestTable::PrepareModels(TimePoint now) {
+  if (!m_state.config)
+    return;
+  for (const auto& [name, service] : m_state.config->config().services) {
+    if (!service.engine)
+      continue;
+    const std::vector<Worker*> workers = UsableWorkers(now, name);
+    const std::span<Worker* const> all(workers);
+    std::vector<std::string> missing =
+        LoadPlanner::NowhereAtHand(*service.engine, all);
+    if (missing.size() > kPreparedFromStore)
+      missing.resize(kPreparedFromStore);
+    // why: these count as waited for, so that they may take another's place
+    for (const std::string& model : missing)
+      AskLoad(now, *service.engine, workers, {.model = model, .waiting = 1},
+              "preparation");
+    std::vector<std::string> idle =
+        LoadPlanner::WorthLoading(*service.engine, all);
+    if (idle.size() > kPreparedAtOnce)
+      idle.resize(kPreparedAtOnce);
+    for (const std::string& model : idle)
+      AskLoad(now, *service.engine, workers, {.model = model}, "preparation");
+  }
+}
+
+}  // namespace boragepick
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -221,8 +221,7 @@
       LogEvent::kRequestCancelled,
       {{"request", exchange->request->trace_id},
        {"stage", std::string(kExchangeStageNames.Name(exchange->stage))},
-       {"after_ms",
-        std::to_string((now - exchange->arrived).count() / 1'000)}});
+       {"after_ms", MillisecondsText(now - exchange->arrived)}});
   CancelRunning(*exchange);
   Forget(*exchange);
 }
@@ -342,7 +341,7 @@
        {"runs", std::to_string(exchange.runs)},
        {"config", std::to_string(
                       exchange.config ? exchange.config->config().version : 0)},
-       {"after_ms", std::to_string((now - exchange.arrived).count() / 1'000)}});
+       {"after_ms", MillisecondsText(now - exchange.arrived)}});
   m_state.Emit(AnswerRefused{.id = exchange.request->id,
                              .status = row.status,
                              .code = std::string(row.name),
@@ -355,12 +354,11 @@
                          Exchange& exchange,
                          const std::string& why) {
   ++m_metrics.aborted;
-  m_state.Log(
-      LogEvent::kRequestBroken,
-      {{"request", exchange.request->trace_id},
-       {"why", why},
-       {"last_event", std::to_string(exchange.last_event.value_or(0))},
-       {"after_ms", std::to_string((now - exchange.arrived).count() / 1'000)}});
+  m_state.Log(LogEvent::kRequestBroken,
+              {{"request", exchange.request->trace_id},
+               {"why", why},
+               {"last_event", std::to_string(exchange.last_event.value_or(0))},
+               {"after_ms", MillisecondsText(now - exchange.arrived)}});
   CancelRunning(exchange);
   m_state.Emit(AnswerAborted{.id = exchange.request->id});
   Forget(exchange);
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -12,9 +12,6 @@
 // What is at hand nowhere is only known when no more workers come.
 constexpr Duration kListSettled = std::chrono::milliseconds(1'200);
 constexpr Duration kPreparationPeriod = std::chrono::milliseconds(500);
-std::string AgeMs(TimePoint now, TimePoint then) {
-  return std::to_string((now - then).count() / 1'000);
-}
 
 }  // namespace
 
@@ -192,8 +189,9 @@
   if (current == m_keys_current)
     return;
   m_keys_current = current;
-  m_state.Log(current ? LogEvent::kKeysCurrent : LogEvent::kKeysStale,
-              {{"proof_age_ms", AgeMs(now, m_state.config_proven)}});
+  m_state.Log(
+      current ? LogEvent::kKeysCurrent : LogEvent::kKeysStale,
+      {{"proof_age_ms", MillisecondsText(now - m_state.config_proven)}});
 }
 
 void ServingRouter::CheckDrain(TimePoint now) {
