Leave room for orders of an engine's earlier run that may come late

Change: loads without an answer are remembered for 15 s, longer than the platform delays them. While their precondition may still be met, their memory and place count as taken.

--- a/source/core/engine/engine_controller.cc
+++ b/source/core/engine/engine_controller.cc
@@ -32,6 +32,8 @@
 // A model that came this lately is probably answering what it came for: its
 // unloading would have to wait for that.
 constexpr Duration kProbablyInUse = std::chrono::milliseconds(3'000);
+// An order without an answer is carried out at most so much later.
+constexpr Duration kLongestOrderDelay = std::chrono::seconds(15);
 constexpr Duration kFenceAskPause = std::chrono::milliseconds(300);
 constexpr std::size_t kMaxAdaptersComing = 4;
 
@@ -171,6 +173,8 @@
   if (restarted) {
     Log(LogEvent::kEngineRestarted,
         {{"vm", m_vm}, {"born", std::to_string(report.contents.born)}});
+    if (m_order)
+      KeepIfLost(*m_order);
     m_order.reset();
     m_in_turn.clear();
     m_loaded_at.clear();
@@ -181,6 +185,9 @@
                        m_report->busy != report.busy ||
                        LoadStep(m_report->waiting) != LoadStep(report.waiting);
   m_report = report;
+  std::erase_if(m_lost, [now](const OpenOrder& lost) {
+    return now - lost.sent > kLongestOrderDelay;
+  });
   for (const LoadedModel& model : report.contents.models) {
     // why: what was there at the start may go at once
     m_loaded_at.try_emplace(model.name,
@@ -241,8 +248,30 @@
                          m_order->outcome == OrderOutcome::kUnknown;
   // why: sent again with the same precondition, of the two at most one is
   // carried out
-  if (undecided && now - m_order->sent > kOrderPatience)
+  if (undecided && now - m_order->sent > kOrderPatience) {
+    KeepIfLost(*m_order);
     m_order.reset();
+  }
+}
+
+void EngineController::KeepIfLost(const OpenOrder& open) {
+  const bool unknown = !open.answered || open.outcome == OrderOutcome::kUnknown;
+  if (unknown && open.order.kind == OrderKind::kLoad)
+    m_lost.push_back(open);
+}
+
+std::vector<const EngineOrder*> EngineController::PossibleLoads(
+    const std::string& wanted) const {
+  std::vector<const EngineOrder*> loads;
+  for (const OpenOrder& lost : m_lost) {
+    const EngineOrder& order = lost.order;
+    const bool possible = order.precondition >= m_report->orders &&
+                          WeightsName(order.model, order.adapter) != wanted &&
+                          !m_report->contents.Holds(order.model, order.adapter);
+    if (possible)
+      loads.push_back(&order);
+  }
+  return loads;
 }
 
 void EngineController::Proceed(TimePoint now) {
@@ -305,7 +334,7 @@
     TimePoint now,
     const Need& need) const {
   const double needed_mb = m_spec->models.at(need.model).memory_mb;
-  if (UsedMb() + needed_mb > m_spec->memory_mb)
+  if (UsedMb(need.model) + needed_mb > m_spec->memory_mb)
     return EvictModel(now, need);
   return EngineOrder{.kind = OrderKind::kLoad, .model = need.model};
 }
@@ -316,12 +345,10 @@
   const LoadedModel* loaded = m_report->contents.Find(need.model);
   if (loaded == nullptr || m_report->coming.size() >= kMaxAdaptersComing)
     return std::nullopt;
-  std::size_t adapters = m_report->coming.size();
-  for (const LoadedModel& model : m_report->contents.models)
-    adapters += model.adapters.size();
+  const std::string wanted = WeightsName(need.model, need.adapter);
   const double adapter_mb = m_spec->models.at(need.model).adapter_mb;
-  const bool fits = adapters < m_spec->adapter_slots &&
-                    UsedMb() + adapter_mb <= m_spec->memory_mb;
+  const bool fits = UsedAdapters(wanted) < m_spec->adapter_slots &&
+                    UsedMb(wanted) + adapter_mb <= m_spec->memory_mb;
   if (!fits)
     return EvictAdapter(now, need);
   return EngineOrder{
@@ -392,7 +419,17 @@
   return victim;
 }
 
-double EngineController::UsedMb() const {
+std::size_t EngineController::UsedAdapters(const std::string& wanted) const {
+  std::size_t adapters = m_report->coming.size();
+  for (const LoadedModel& model : m_report->contents.models)
+    adapters += model.adapters.size();
+  return adapters + static_cast<std::size_t>(std::ranges::count_if(
+                        PossibleLoads(wanted), [](const EngineOrder* order) {
+                          return !order->adapter.empty();
+                        }));
+}
+
+double EngineController::UsedMb(const std::string& wanted) const {
   double used = 0;
   const auto add_adapter = [this, &used](const std::string& model) {
     const auto spec = m_spec->models.find(model);
@@ -408,6 +445,13 @@
   }
   for (const std::string& coming : m_report->coming)
     add_adapter(coming.substr(0, coming.find('/')));
+  for (const EngineOrder* order : PossibleLoads(wanted)) {
+    const auto spec = m_spec->models.find(order->model);
+    if (spec == m_spec->models.end())
+      continue;
+    used += order->adapter.empty() ? spec->second.memory_mb
+                                   : spec->second.adapter_mb;
+  }
   return used;
 }
 
--- a/source/core/engine/engine_controller.h
+++ b/source/core/engine/engine_controller.h
@@ -176,7 +176,14 @@
   std::optional<EngineOrder> EvictModel(TimePoint now, const Need& need) const;
   std::optional<EngineOrder> EvictAdapter(TimePoint now,
                                           const Need& need) const;
-  double UsedMb() const;
+  // Memory and adapters that are taken, or would be if an order that got no
+  // answer were carried out yet; the weights `wanted` themselves apart.
+  double UsedMb(const std::string& wanted = "") const;
+  std::size_t UsedAdapters(const std::string& wanted) const;
+  // Loads that the engine may carry out yet.
+  std::vector<const EngineOrder*> PossibleLoads(
+      const std::string& wanted) const;
+  void KeepIfLost(const OpenOrder& open);
   std::uint64_t ValueOf(TimePoint now, const std::string& model) const;
   void Tell(TimePoint now);
   void TellOne(const std::string& endpoint);
@@ -196,6 +203,9 @@
   TimePoint m_next_read = TimePoint{};
   std::vector<Need> m_needs;
   std::optional<OpenOrder> m_order;
+  // Orders without an answer, also of the engine's earlier runs: it may carry
+  // them out late, when its count of orders has come to their precondition.
+  std::vector<OpenOrder> m_lost;
   // The model for which the latest unload made room; empty when it has come.
   std::string m_in_turn;
   // When each model was first seen loaded, and each adapter last asked for.
--- a/source/unit_tests/core/engine/engine_controller_test.cc
+++ b/source/unit_tests/core/engine/engine_controller_test.cc
@@ -276,9 +276,9 @@
   EXPECT_TRUE(bench.Wait("m1", seconds(20)));
 }
 
-// The naive controller would count an unanswered order as not accepted.
-RC_GTEST_PROP(EngineController, NeverOvercommitsWhateverBecomesOfOrders, ()) {
-  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+// Asks, lost and late orders, restarts of the engine; returns whether it was
+// ever ordered to hold more than it can.
+bool Overcommits(std::uint64_t seed) {
   Bench bench(seed);
   Random random(seed ^ 1U);
   const char* models[] = {"m1", "m2", "m3", "m4", "m5"};
@@ -290,8 +290,22 @@
     bench.Pass(milliseconds(50 + random.Below(800)));
     if (random.Below(40) == 0)
       bench.engine().Restart();
-    RC_ASSERT(!bench.engine().overcommitted());
+    if (bench.engine().overcommitted())
+      return true;
   }
+  return false;
+}
+
+// The naive controller would count an unanswered order as not accepted.
+RC_GTEST_PROP(EngineController, NeverOvercommitsWhateverBecomesOfOrders, ()) {
+  RC_ASSERT(!Overcommits(*rc::gen::arbitrary<std::uint64_t>()));
+}
+
+// Seeds that failed once.
+TEST(EngineController, NeverOvercommitsOnSeedsThatFailed) {
+  // a load that got no answer was sent again and accepted; after a restart the
+  // first one found its precondition met
+  EXPECT_FALSE(Overcommits(480'720'916'663));
 }
 
 }  // namespace
