--- a/source/core/quota/token_bucket.h
+++ b/source/core/quota/token_bucket.h
@@ -35,10 +35,10 @@
   enum class Start { kFull, kEmpty };
 
   // Until the loans that an earlier holder gave from a share have lapsed,
-  // `early_part` of its burst may be used, 0 to 1. Whatever the part, those
-  // loans and what accrues stay within burst + rate x window after the
-  // take-over; with more than 0, a window that begins later may exceed it by
-  // that part of the burst.
+  // `early_part` of its burst may be used, 0 to 1. Whatever the part, a
+  // window that begins before the take-over stays within burst + rate x window.
+  // With more than 0, one that begins after it may exceed that by the part of
+  // the burst, once for each take-over within the life of a loan.
   TokenBucket(TimePoint now,
               const TeamSpec& team,
               std::uint32_t units,
--- a/source/unit_tests/core/serving/serving_fleet_test.cc
+++ b/source/unit_tests/core/serving/serving_fleet_test.cc
@@ -169,6 +169,29 @@
   EXPECT_LE(admitted, Bench::kBurst + Bench::kRate);
 }
 
+// Two of three routers restart while the third may hold loans of theirs: no
+// window exceeds burst and rate by more than the part that may be used early.
+TEST(ServingFleet, KeepsTheRateWhenSomeRoutersRestart) {
+  Bench bench({"r1", "r2", "r3"});
+  bench.Pass(seconds(5));
+  bench.AdmitFor(seconds(5), 100);
+  std::vector<std::int64_t> admitted;
+  for (int tenth = 0; tenth < 120; ++tenth) {
+    if (tenth == 20 || tenth == 60) {
+      bench.StartRouter("r1");
+      bench.StartRouter("r2");
+    }
+    admitted.push_back(bench.AdmitFor(milliseconds(100), 100));
+  }
+  constexpr std::size_t kWindowTenths = 40;
+  for (std::size_t i = 0; i + kWindowTenths <= admitted.size(); ++i) {
+    std::int64_t sum = 0;
+    for (std::size_t j = i; j < i + kWindowTenths; ++j)
+      sum += admitted[j];
+    EXPECT_LE(sum, Bench::kBurst * 5 / 4 + Bench::kRate * 4) << "from " << i;
+  }
+}
+
 TEST(ServingFleet, ATeamWithoutLimitIsNeverRefused) {
   ServingFleet fleet({.vm = "r1"});
   fleet.Configure(kStart, {{"free", {.name = "free"}}});
--- a/source/unit_tests/core/serving/serving_parts_test.cc
+++ b/source/unit_tests/core/serving/serving_parts_test.cc
@@ -148,6 +148,28 @@
   EXPECT_NE(Plan(planner, kNow + milliseconds(1'400), "m1")->worker, first);
 }
 
+TEST_F(LoadPlannerTest, AnAdapterIsAskedForWhereNoModelIsQueued) {
+  for (Worker* worker : m_workers)
+    worker->contents.models = {{.name = "m1"}};
+  LoadPlanner planner;
+  const WeightsNeed need{.model = "m1", .adapter = "a1", .waiting = 1};
+  const std::span<Worker* const> workers(m_workers);
+  const std::string first = planner.Plan(kNow, m_engine, workers, need)->worker;
+  // the others run many requests, which costs less than waiting for a model
+  for (Worker* worker : m_workers) {
+    worker->queued_loads = worker->entry.id == first ? 1 : 0;
+    worker->running = worker->entry.id == first ? 0 : 200;
+  }
+  LoadPlanner other;
+  EXPECT_NE(other.Plan(kNow, m_engine, workers, need)->worker, first);
+}
+
+TEST_F(LoadPlannerTest, TellsWhetherAWorkerIsAskedAgain) {
+  LoadPlanner planner;
+  EXPECT_FALSE(Plan(planner, kNow, "m1")->again);
+  EXPECT_TRUE(Plan(planner, kNow + milliseconds(700), "m1")->again);
+}
+
 TEST_F(LoadPlannerTest, AModelInDemandIsNotGivenUpForARareOne) {
   for (Worker* worker : m_workers)
     worker->contents.models = {{.name = "m1"}, {.name = "m2"}};
--- a/source/unit_tests/core/serving/serving_router_test.cc
+++ b/source/unit_tests/core/serving/serving_router_test.cc
@@ -349,7 +349,9 @@
   fixture.effects.clear();
   fixture.Arrive("/review/poison", "m1");
   EXPECT_TRUE(fixture.Take<SendAttempt>().empty());
-  EXPECT_EQ(fixture.Take<AnswerRefused>().back().code, "breaks_workers");
+  const auto refused = fixture.Take<AnswerRefused>();
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].code, "breaks_workers");
   // another request is none of it
   fixture.Arrive("/review/other", "m1");
   EXPECT_FALSE(fixture.Take<SendAttempt>().empty());
@@ -387,7 +389,27 @@
       other.Feed(PeerReceived{.from = {.vm = "r1"}, .message = sent.message});
   }
   other.Arrive("/review/poison", "m1");
-  EXPECT_EQ(other.Take<AnswerRefused>().back().code, "breaks_workers");
+  const auto refused = other.Take<AnswerRefused>();
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].code, "breaks_workers");
+}
+
+TEST(ServingRouter, MeasuresWhatCallersWaitFor) {
+  ServingFixture fixture;
+  fixture.Begin();
+  fixture.Arrive("/review/1", "m1");
+  const AttemptNumber attempt = fixture.Take<SendAttempt>()[0].attempt;
+  fixture.Pass(milliseconds(300));
+  fixture.Answer(attempt);
+  fixture.Event(attempt, 1);
+  fixture.Pass(milliseconds(300));
+  fixture.Feed(AttemptEnded{.attempt = attempt});
+  const ServingMetrics& metrics = fixture.router().requests().metrics();
+  EXPECT_EQ(metrics.first_byte.Count(), 1U);
+  EXPECT_NEAR(metrics.first_byte.SumSeconds(), 0.3, 0.05);
+  EXPECT_NEAR(metrics.whole_answer.SumSeconds(), 0.6, 0.05);
+  EXPECT_EQ(metrics.quota_wait.Count(), 1U);
+  EXPECT_EQ(metrics.hold.Count(), 0U);
 }
 
 // A worker resets connections beyond its limit: what is beyond waits or goes to
--- /dev/null
+++ b/source/unit_tests/frontends/log_format_test.cc
@@ -0,0 +1,37 @@
+// What the log's task writes is what 'boragepick explain' reads.
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "core/explain/request_story.h"
+#include "frontends/log_task.h"
+
+namespace boragepick {
+namespace {
+
+TEST(LogFormat, ExplainReadsWhatTheLogTaskWrites) {
+  const std::string file = testing::TempDir() + "/log_format_test.log";
+  std::filesystem::remove(file);
+  {
+    LogTask log(file, /*decisions=*/true);
+    log.Post({.event = LogEvent::kStarted, .fields = {{"vm", "g1"}}});
+    log.Post({.event = LogEvent::kRequestRetried,
+              .fields = {{"request", "r1"}, {"why", "not executed"}}});
+  }
+  std::ostringstream text;
+  text << std::ifstream(file).rdbuf();
+  RequestStory story("r1");
+  story.AddLog(file, text.str());
+  EXPECT_TRUE(story.unread().empty()) << text.str();
+  EXPECT_NE(story.Text().find("g1  E0202 routing request_retried request=r1 "
+                              "why=\"not executed\""),
+            std::string::npos)
+      << story.Text();
+  std::filesystem::remove(file);
+}
+
+}  // namespace
+}  // namespace boragepick
