Log where loads take their weights from, how long they took, and why others wait

E0307 and E0308 name the source, E0311 the end of a load, E0312 (every two seconds at most for one need) why asked weights are not ordered; controllers serve load_seconds by source and loads_from_store. 'explain' shows both events.

No decision changes.

--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -89,6 +89,12 @@
        "The engine answered an order, or did not; the outcome tells which."},
       {LogEvent::kEngineRestarted, kWarning, kPlacement, "engine_restarted",
        "The engine began anew: it holds nothing of before."},
+      {LogEvent::kWeightsLoaded, kInfo, kPlacement, "weights_loaded",
+       "The engine reports weights that were ordered as loaded; fields tell "
+       "where they came from and how long it took."},
+      {LogEvent::kLoadDelayed, kInfo, kPlacement, "load_delayed",
+       "Weights that routers asked for have not been ordered for a while; the "
+       "reason is told."},
       {LogEvent::kSharePlanned, kInfo, kQuota, "share_planned",
        "This router changed its standing share of a quota page."},
       {LogEvent::kShareConflict, kInfo, kQuota, "share_conflict",
--- a/source/common/log_event.h
+++ b/source/common/log_event.h
@@ -69,6 +69,8 @@
   kOrderSent = 308,
   kOrderEnded = 309,
   kEngineRestarted = 310,
+  kWeightsLoaded = 311,
+  kLoadDelayed = 312,
   kSharePlanned = 400,
   kShareConflict = 401,
   kIdempotencyConflict = 501,
--- a/source/core/engine/engine_controller.cc
+++ b/source/core/engine/engine_controller.cc
@@ -36,6 +36,9 @@
 constexpr Duration kLongestOrderDelay = std::chrono::seconds(15);
 constexpr Duration kFenceAskPause = std::chrono::milliseconds(300);
 constexpr std::size_t kMaxAdaptersComing = 4;
+// Weights that have waited for so long since they were asked for, or since the
+// last line about them, get a line in the log.
+constexpr Duration kDelayWorthLogging = std::chrono::seconds(2);
 
 // Routers are told of the queue when it crosses a power of two.
 int LoadStep(std::uint32_t waiting) {
@@ -88,6 +91,7 @@
     Emit(AskFence{});
   }
   DropSettledNeeds(now);
+  LogDelays(now);
   if (!m_reading && now >= m_next_read) {
     m_reading = true;
     Emit(ReadReport{});
@@ -138,8 +142,10 @@
   auto found = std::ranges::find_if(m_needs, same);
   bool is_new = false;
   if (found == m_needs.end()) {
-    m_needs.push_back(
-        {.model = ask.model, .adapter = ask.adapter, .first_asked = now});
+    m_needs.push_back({.model = ask.model,
+                       .adapter = ask.adapter,
+                       .first_asked = now,
+                       .next_delay_log = now + kDelayWorthLogging});
     found = std::prev(m_needs.end());
     m_next_read = std::min(m_next_read, now + kReadWhileBusy);
     is_new = true;
@@ -241,6 +247,7 @@
           WeightsName(m_order->order.model, m_order->order.adapter)) !=
       m_report->coming.end();
   if (accepted && !m_report->busy && !adapter_coming) {
+    RecordLoad(now, *m_order);
     m_order.reset();
     return;
   }
@@ -254,6 +261,65 @@
   }
 }
 
+void EngineController::RecordLoad(TimePoint now, const OpenOrder& open) {
+  const EngineOrder& order = open.order;
+  const bool loaded = order.kind == OrderKind::kLoad &&
+                      m_report->contents.Holds(order.model, order.adapter);
+  if (!loaded)
+    return;
+  const Duration took = now - open.sent;
+  std::vector<LogField> fields{
+      {"weights", WeightsName(order.model, order.adapter)},
+      {"after_ms", MillisecondsText(took)}};
+  if (order.adapter.empty()) {
+    fields.push_back(
+        {"from", std::string(kWeightsSourceNames.Name(open.source))});
+    m_load_times[open.source].Add(took);
+  }
+  Log(LogEvent::kWeightsLoaded, std::move(fields));
+}
+
+void EngineController::LogDelays(TimePoint now) {
+  for (Need& need : m_needs) {
+    // why: what nobody waits for is loaded when there is nothing else to do
+    if (now < need.next_delay_log || need.Waiting() == 0)
+      continue;
+    need.next_delay_log = now + kDelayWorthLogging;
+    const LoadDelay why = DelayOf(now, need);
+    Log(LogEvent::kLoadDelayed,
+        {{"weights", WeightsName(need.model, need.adapter)},
+         {"why", std::string(kLoadDelayNames.Name(why))},
+         {"waited_ms", MillisecondsText(now - need.first_asked)},
+         {"waiting", std::to_string(need.Waiting())},
+         {"under_way",
+          m_order ? WeightsName(m_order->order.model, m_order->order.adapter)
+                  : ""},
+         {"under_way_ms", m_order ? MillisecondsText(now - m_order->sent) : ""},
+         {"used_mb", m_spec && m_report
+                         ? std::to_string(static_cast<std::int64_t>(UsedMb()))
+                         : ""}});
+  }
+}
+
+LoadDelay EngineController::DelayOf(TimePoint now, const Need& need) const {
+  if (!m_fence || !m_spec || !m_report)
+    return LoadDelay::kNotReady;
+  if (!m_spec->models.contains(need.model))
+    return LoadDelay::kNotInConfig;
+  if (m_order)
+    return LoadDelay::kOrderUnderWay;
+  if (m_report->busy)
+    return LoadDelay::kEngineBusy;
+  return OrderFor(now, need) ? LoadDelay::kOthersFirst
+                             : LoadDelay::kNothingGivesWay;
+}
+
+bool EngineController::LoadsFromStore() const {
+  return m_order && m_order->order.kind == OrderKind::kLoad &&
+         m_order->order.adapter.empty() &&
+         m_order->source == WeightsSource::kStore;
+}
+
 void EngineController::KeepIfLost(const OpenOrder& open) {
   const bool unknown = !open.answered || open.outcome == OrderOutcome::kUnknown;
   if (unknown && open.order.kind == OrderKind::kLoad)
@@ -305,17 +371,21 @@
   order.precondition = m_report->orders;
   order.fence = *m_fence;
   ++m_orders_sent;
-  Log(LogEvent::kOrderSent,
-      {{"operation", std::string(kOrderKindNames.Name(order.kind))},
-       {"weights", WeightsName(order.model, order.adapter)},
-       {"for", WeightsName(need.model, need.adapter)},
-       {"waited_ms", MillisecondsText(now - need.first_asked)},
-       {"orders", std::to_string(order.precondition)},
-       {"used_mb", std::to_string(static_cast<std::int64_t>(UsedMb()))}});
+  const WeightsSource source = m_report->contents.SourceOf(order.model);
+  std::vector<LogField> fields{
+      {"operation", std::string(kOrderKindNames.Name(order.kind))},
+      {"weights", WeightsName(order.model, order.adapter)},
+      {"for", WeightsName(need.model, need.adapter)},
+      {"waited_ms", MillisecondsText(now - need.first_asked)},
+      {"orders", std::to_string(order.precondition)},
+      {"used_mb", std::to_string(static_cast<std::int64_t>(UsedMb()))}};
+  if (order.kind == OrderKind::kLoad && order.adapter.empty())
+    fields.push_back({"from", std::string(kWeightsSourceNames.Name(source))});
+  Log(LogEvent::kOrderSent, std::move(fields));
   const bool unloads = order.kind == OrderKind::kUnload;
   if (order.adapter.empty())
     m_in_turn = unloads ? need.model : "";
-  m_order = OpenOrder{.order = order, .sent = now};
+  m_order = OpenOrder{.order = order, .sent = now, .source = source};
   m_next_read = now + kReadWhileBusy;
   Emit(SendOrder{.order = std::move(order)});
   if (unloads)
--- a/source/core/engine/engine_controller.h
+++ b/source/core/engine/engine_controller.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "common/enum_table.h"
+#include "common/latency_histogram.h"
 #include "common/log_event.h"
 #include "common/time.h"
 #include "core/engine/engine_messages.h"
@@ -39,6 +40,25 @@
     EnumName<OrderOutcome>{OrderOutcome::kUnknown, "unknown"},
 }};
 
+// Why weights that were asked for are not being loaded.
+enum class LoadDelay {
+  kNotReady,         // no fence, configuration or report yet
+  kOrderUnderWay,    // another order was sent
+  kEngineBusy,       // the engine carries out an order
+  kOthersFirst,      // the engine takes the next order for another need
+  kNothingGivesWay,  // no room, and what is loaded is worth more
+  kNotInConfig,
+};
+
+inline constexpr EnumTable kLoadDelayNames{std::array{
+    EnumName<LoadDelay>{LoadDelay::kNotReady, "not_ready"},
+    EnumName<LoadDelay>{LoadDelay::kOrderUnderWay, "order_under_way"},
+    EnumName<LoadDelay>{LoadDelay::kEngineBusy, "engine_busy"},
+    EnumName<LoadDelay>{LoadDelay::kOthersFirst, "others_first"},
+    EnumName<LoadDelay>{LoadDelay::kNothingGivesWay, "nothing_gives_way"},
+    EnumName<LoadDelay>{LoadDelay::kNotInConfig, "not_in_config"},
+}};
+
 struct EngineOrder {
   OrderKind kind = OrderKind::kLoad;
   std::string model;
@@ -119,6 +139,13 @@
 
   std::uint64_t orders_sent() const { return m_orders_sent; }
   std::size_t asks() const { return m_needs.size(); }
+  // From the order until the engine reports the model as loaded, by where its
+  // weights came from.
+  const std::map<WeightsSource, LatencyHistogram>& load_times() const {
+    return m_load_times;
+  }
+  // The model being loaded from the weight store, if any.
+  bool LoadsFromStore() const;
 
  private:
   // What some router has asked for.
@@ -134,6 +161,8 @@
       TimePoint at;
     };
     std::map<std::string, Asker> askers;
+    // When a delay of it is logged next.
+    TimePoint next_delay_log = kNever;
 
     std::uint64_t Waiting() const;
     std::uint64_t MilliRequests() const;
@@ -144,6 +173,8 @@
     TimePoint sent;
     bool answered = false;
     OrderOutcome outcome = OrderOutcome::kUnknown;
+    // Of a model that is to be loaded.
+    WeightsSource source = WeightsSource::kStore;
   };
   struct Value {
     std::uint32_t milli_requests = 0;
@@ -162,6 +193,9 @@
   void TakeReport(TimePoint now, const EngineReport& report);
   void DropSettledNeeds(TimePoint now);
   void CheckOrder(TimePoint now);
+  void RecordLoad(TimePoint now, const OpenOrder& open);
+  void LogDelays(TimePoint now);
+  LoadDelay DelayOf(TimePoint now, const Need& need) const;
   // Sends the next order, if one is wanted and possible.
   void Proceed(TimePoint now);
   // The order in which needs are looked at: adapters, then the model for which
@@ -216,6 +250,7 @@
   // Routers that asked lately.
   std::map<std::string, TimePoint> m_listeners;
   std::uint64_t m_orders_sent = 0;
+  std::map<WeightsSource, LatencyHistogram> m_load_times;
   bool m_draining = false;
   std::vector<ControllerEffect> m_effects;
 };
--- a/source/core/explain/request_story.cc
+++ b/source/core/explain/request_story.cc
@@ -154,6 +154,8 @@
   switch (line.event->event) {
     case LogEvent::kOrderSent:
     case LogEvent::kOrderEnded:
+    case LogEvent::kWeightsLoaded:
+    case LogEvent::kLoadDelayed:
       return m_weights.contains(line.Field("weights")) ||
              m_weights.contains(line.Field("for"));
     case LogEvent::kWorkerListed:
--- a/source/core/serving/load_planner.cc
+++ b/source/core/serving/load_planner.cc
@@ -42,10 +42,6 @@
 constexpr int kStoreAversion = 4;
 constexpr Duration kAdapterLoad = std::chrono::milliseconds(20);
 
-bool Contains(const std::vector<std::string>& names, const std::string& name) {
-  return std::ranges::find(names, name) != names.end();
-}
-
 std::uint32_t Thousandths(double value) {
   constexpr double kThousandths = 1'000;
   return static_cast<std::uint32_t>(value * kThousandths);
@@ -74,8 +70,7 @@
 
 bool IsAtHand(const EngineContents& contents, const std::string& model) {
   return contents.Find(model) != nullptr ||
-         Contains(contents.in_memory, model) ||
-         Contains(contents.on_disk, model);
+         contents.SourceOf(model) != WeightsSource::kStore;
 }
 
 // Free memory, and nothing that would take it first.
@@ -88,10 +83,14 @@
 
 // A load's time, weighed for the choice of a worker.
 Duration LoadTime(const EngineModel& model, const EngineContents& contents) {
-  if (Contains(contents.in_memory, model.name))
-    return model.load_from_memory;
-  if (Contains(contents.on_disk, model.name))
-    return model.load_from_disk;
+  switch (contents.SourceOf(model.name)) {
+    case WeightsSource::kMemory:
+      return model.load_from_memory;
+    case WeightsSource::kDisk:
+      return model.load_from_disk;
+    case WeightsSource::kStore:
+      break;
+  }
   return model.load_from_store * kStoreAversion;
 }
 
@@ -308,6 +307,7 @@
               .waiting = need.waiting,
               .milli_requests = Thousandths(Demand(now, need.model)),
               .values = ValuesOf(now, workers, *best)},
+      .source = best->contents.SourceOf(need.model),
       .expected = expected,
       .again = best->entry.id == keep};
 }
--- a/source/core/serving/load_planner.h
+++ b/source/core/serving/load_planner.h
@@ -22,6 +22,8 @@
   std::string worker;
   std::string address;
   LoadAsk ask;
+  // Where the worker would take a model from.
+  WeightsSource source = WeightsSource::kStore;
   // Until the weights may be expected to be there.
   Duration expected = Duration::zero();
   // The same worker was asked before.
--- a/source/core/serving/request_loads.cc
+++ b/source/core/serving/request_loads.cc
@@ -79,12 +79,16 @@
 void RequestTable::LogAsk(const WeightsNeed& need,
                           const PlannedLoad& planned,
                           const std::string& reason) {
-  m_state.Log(LogEvent::kLoadAsked,
-              {{"request", reason},
-               {"weights", WeightsName(planned.ask.model, planned.ask.adapter)},
-               {"worker", planned.worker},
-               {"waiting", std::to_string(need.waiting)},
-               {"expected_ms", MillisecondsText(planned.expected)}});
+  m_state.Log(
+      LogEvent::kLoadAsked,
+      {{"request", reason},
+       {"weights", WeightsName(planned.ask.model, planned.ask.adapter)},
+       {"worker", planned.worker},
+       {"from", planned.ask.adapter.empty()
+                    ? std::string(kWeightsSourceNames.Name(planned.source))
+                    : "adapter"},
+       {"waiting", std::to_string(need.waiting)},
+       {"expected_ms", MillisecondsText(planned.expected)}});
 }
 
 void RequestTable::PrepareModels(TimePoint now) {
--- a/source/core/serving/worker_entry.cc
+++ b/source/core/serving/worker_entry.cc
@@ -17,6 +17,14 @@
                                  loaded->adapters.end());
 }
 
+WeightsSource EngineContents::SourceOf(const std::string& model) const {
+  if (std::ranges::find(in_memory, model) != in_memory.end())
+    return WeightsSource::kMemory;
+  if (std::ranges::find(on_disk, model) != on_disk.end())
+    return WeightsSource::kDisk;
+  return WeightsSource::kStore;
+}
+
 void EngineContents::Drop(const std::string& model,
                           const std::string& adapter) {
   const auto found = std::ranges::find(models, model, &LoadedModel::name);
--- a/source/core/serving/worker_entry.h
+++ b/source/core/serving/worker_entry.h
@@ -19,6 +19,15 @@
     EnumName<WorkerState>{WorkerState::kDraining, "draining"},
 }};
 
+// Where a load would take its weights from.
+enum class WeightsSource { kMemory, kDisk, kStore };
+
+inline constexpr EnumTable kWeightsSourceNames{std::array{
+    EnumName<WeightsSource>{WeightsSource::kMemory, "memory"},
+    EnumName<WeightsSource>{WeightsSource::kDisk, "disk"},
+    EnumName<WeightsSource>{WeightsSource::kStore, "store"},
+}};
+
 struct LoadedModel {
   std::string name;
   std::uint64_t version = 0;
@@ -37,6 +46,8 @@
 
   const LoadedModel* Find(const std::string& model) const;
   bool Holds(const std::string& model, const std::string& adapter) const;
+  // The nearest copy of the model's weights.
+  WeightsSource SourceOf(const std::string& model) const;
   // Not held after all: the model, or only the adapter when one is named.
   void Drop(const std::string& model, const std::string& adapter);
 };
--- a/source/frontends/serving/serving_metrics.cc
+++ b/source/frontends/serving/serving_metrics.cc
@@ -15,14 +15,19 @@
     m_text += std::to_string(value);
     m_text += '\n';
   }
-  void Add(std::string_view name, const LatencyHistogram& histogram) {
+  // `label` goes with each line, as `name="value"`.
+  void Add(std::string_view name,
+           const LatencyHistogram& histogram,
+           const std::string& label = "") {
     const std::string bucket = std::string(name) + "_bucket";
+    const std::string before = label.empty() ? "{" : "{" + label + ",";
     histogram.ForEachBound([&](double bound, std::uint64_t count) {
-      Add(bucket, count, "{le=\"" + std::to_string(bound) + "\"}");
+      Add(bucket, count, before + "le=\"" + std::to_string(bound) + "\"}");
     });
-    Add(bucket, histogram.Count(), "{le=\"+Inf\"}");
-    Add(std::string(name) + "_sum", histogram.SumSeconds());
-    Add(std::string(name) + "_count", histogram.Count());
+    Add(bucket, histogram.Count(), before + "le=\"+Inf\"}");
+    const std::string labels = label.empty() ? "" : "{" + label + "}";
+    Add(std::string(name) + "_sum", histogram.SumSeconds(), labels);
+    Add(std::string(name) + "_count", histogram.Count(), labels);
   }
   std::string Take() { return std::move(m_text); }
 
@@ -65,4 +70,18 @@
   return text.Take();
 }
 
+std::string ControllerMetricsText(const EngineController& controller,
+                                  std::uint64_t store_calls) {
+  MetricsText text;
+  text.Add("orders_total", controller.orders_sent());
+  text.Add("open_asks", controller.asks());
+  text.Add("loads_from_store", controller.LoadsFromStore() ? 1 : 0);
+  for (const auto& [source, times] : controller.load_times()) {
+    text.Add("load_seconds", times,
+             "from=\"" + std::string(kWeightsSourceNames.Name(source)) + "\"");
+  }
+  text.Add("store_calls_total", store_calls);
+  return text.Take();
+}
+
 }  // namespace boragepick
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -381,6 +381,9 @@
                                std::uint64_t store_calls,
                                std::uint64_t upstream_connections);
 
+std::string ControllerMetricsText(const EngineController& controller,
+                                  std::uint64_t store_calls);
+
 template <ServingProtocol Protocol>
 std::string GatewayProcess<Protocol>::Metrics() const {
   return ServingMetricsText(m_router, m_store.calls(),
@@ -485,11 +488,7 @@
   void Take(const std::string& /*prefix*/, const News& /*news*/) {}
 
   std::string Metrics() const {
-    return "boragepick_orders_total " +
-           std::to_string(m_controller.orders_sent()) +
-           "\nboragepick_open_asks " + std::to_string(m_controller.asks()) +
-           "\nboragepick_store_calls_total " + std::to_string(m_store.calls()) +
-           "\n";
+    return ControllerMetricsText(m_controller, m_store.calls());
   }
 
   EngineController m_controller;
--- a/source/unit_tests/core/engine/engine_controller_test.cc
+++ b/source/unit_tests/core/engine/engine_controller_test.cc
@@ -177,6 +177,14 @@
 
   FakeEngine& engine() { return m_engine; }
   const EngineNews& last_news() const { return m_news; }
+  // The value of `field` in the latest line of `event`; empty for none.
+  std::string Logged(LogEvent event, const std::string& field) const {
+    const auto line = m_logged.find(event);
+    if (line == m_logged.end())
+      return "";
+    const auto found = std::ranges::find(line->second, field, &LogField::name);
+    return found == line->second.end() ? "" : found->value;
+  }
   std::uint64_t fence() const { return m_fence; }
 
  private:
@@ -195,6 +203,8 @@
             events.push_back(OrderAnswered{.outcome = *outcome});
         } else if (const auto* sent = std::get_if<SendToEndpoint>(&effect)) {
           m_news = std::get<EngineNews>(sent->message);
+        } else if (auto* line = std::get_if<LogEffect>(&effect)) {
+          m_logged[line->record.event] = std::move(line->record.fields);
         }
       }
     }
@@ -204,6 +214,7 @@
   FakeEngine m_engine;
   EngineController m_controller;
   EngineNews m_news;
+  std::map<LogEvent, std::vector<LogField>> m_logged;
   std::uint64_t m_fence = 0;
 };
 
@@ -269,6 +280,34 @@
   EXPECT_FALSE(bench.engine().Holds("m1", "a2"));
 }
 
+TEST(EngineController, LogsWhereWeightsCameFromAndHowLongItTook) {
+  Bench bench(3);
+  bench.engine().BeReliable();
+  ASSERT_TRUE(bench.Wait("m1", seconds(5)));
+  bench.Pass(milliseconds(300));
+  EXPECT_EQ(bench.Logged(LogEvent::kOrderSent, "from"), "store");
+  EXPECT_EQ(bench.Logged(LogEvent::kWeightsLoaded, "weights"), "m1");
+  EXPECT_EQ(bench.Logged(LogEvent::kWeightsLoaded, "from"), "store");
+  EXPECT_GE(std::stoi(bench.Logged(LogEvent::kWeightsLoaded, "after_ms")),
+            1'000);
+}
+
+TEST(EngineController, LogsWhyALoadIsDelayed) {
+  Bench bench(3);
+  bench.engine().BeReliable();
+  ASSERT_TRUE(bench.Wait("m1", seconds(5)));
+  ASSERT_TRUE(bench.Wait("m2", seconds(5)));
+  bench.Pass(seconds(2));
+  for (int i = 0; i < 6; ++i) {
+    bench.Ask("m3", "",
+              {{.model = "m1", .milli_requests = 9'000},
+               {.model = "m2", .milli_requests = 9'000}});
+    bench.Pass(milliseconds(500));
+  }
+  EXPECT_EQ(bench.Logged(LogEvent::kLoadDelayed, "weights"), "m3");
+  EXPECT_EQ(bench.Logged(LogEvent::kLoadDelayed, "why"), "nothing_gives_way");
+}
+
 TEST(EngineController, ARestartedEngineIsFilledAnew) {
   Bench bench(3);
   ASSERT_TRUE(bench.Wait("m1", seconds(20)));
