--- /dev/null
+++ b/source/unit_tests/core/serving/fleet_placement_test.cc
@@ -0,0 +1,56 @@
+// Placement over a whole small fleet: what is asked for through the day is
+// served, whatever happened to the engines that held it.
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "unit_tests/core/serving/fleet_simulation.h"
+
+namespace boragepick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kFullSpeed = 2;
+
+std::string Text(const std::vector<std::string>& names) {
+  std::string text;
+  for (const std::string& name : names)
+    text += name + " ";
+  return text;
+}
+
+// Requests for models drawn evenly, so many a second in all.
+void Serve(FleetSimulation& fleet,
+           std::size_t models,
+           int per_second,
+           Duration duration) {
+  const Duration pause = Duration(seconds(1)) / per_second;
+  for (Duration passed{}; passed < duration; passed += pause) {
+    fleet.Arrive(FleetSimulation::ModelName(fleet.random().Below(models)));
+    fleet.Pass(pause);
+  }
+}
+
+// The fleet holds most models only on the disks of single engines. Some engines
+// go down with them: what is left nowhere has to come from the weight store.
+TEST(FleetPlacement, CrashedEnginesDontOverrunTheWeightStore) {
+  constexpr std::size_t kModels = 24;
+  FleetSimulation fleet({.engines = 12,
+                         .models = kModels,
+                         .store_full_speed = kFullSpeed,
+                         .seed = 7});
+  fleet.Pass(seconds(5));
+  Serve(fleet, kModels, 12, seconds(4));
+  for (std::size_t engine = 0; engine < 5; ++engine)
+    fleet.Crash(engine, milliseconds(2'500));
+  Serve(fleet, kModels, 12, seconds(36));
+  EXPECT_EQ(Text(fleet.Starved()), "");
+  EXPECT_LE(fleet.store().most(), kFullSpeed);
+}
+
+}  // namespace
+}  // namespace boragepick
--- /dev/null
+++ b/source/unit_tests/core/serving/fleet_simulation.h
@@ -0,0 +1,517 @@
+// Routers, controllers and engines of a small fleet in virtual time: the
+// routers and controllers are the real ones, the engines and the weight store
+// behind them are models. Messages take a moment; none is lost.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "common/random.h"
+#include "core/engine/engine_controller.h"
+#include "core/serving/load_planner.h"
+#include "core/serving/serving_router.h"
+
+namespace boragepick {
+
+// Loads share the store evenly: beyond `full_speed` of them at once each takes
+// proportionally longer.
+class SimulatedWeightStore {
+ public:
+  explicit SimulatedWeightStore(std::size_t full_speed)
+      : m_full_speed(full_speed) {}
+
+  void Begin(const std::string& engine, Duration work) {
+    m_left[engine] = ToSeconds(work);
+    m_most = std::max(m_most, m_left.size());
+    ++m_begun;
+  }
+  void Drop(const std::string& engine) { m_left.erase(engine); }
+  // Whether the engine's load is done.
+  bool Done(const std::string& engine) const {
+    const auto found = m_left.find(engine);
+    return found != m_left.end() && found->second <= 0;
+  }
+  void Pass(Duration time) {
+    const double speed =
+        std::min(1.0, static_cast<double>(m_full_speed) /
+                          std::max(1.0, static_cast<double>(m_left.size())));
+    for (auto& [engine, left] : m_left)
+      left -= ToSeconds(time) * speed;
+  }
+
+  // The most loads that were under way at once, and all of them.
+  std::size_t most() const { return m_most; }
+  std::size_t begun() const { return m_begun; }
+
+ private:
+  std::size_t m_full_speed;
+  std::map<std::string, double> m_left;
+  std::size_t m_most = 0;
+  std::size_t m_begun = 0;
+};
+
+// One order at a time, an unload waits for the runs of its model, and copies of
+// weights stay in the machine's memory and on its disk.
+class SimulatedEngine {
+ public:
+  SimulatedEngine(std::string id,
+                  const EngineSpec& spec,
+                  SimulatedWeightStore& store)
+      : m_id(std::move(id)), m_spec(spec), m_store(store) {}
+
+  EngineContents contents{.born = 1};
+
+  OrderOutcome Order(TimePoint now, const EngineOrder& order) {
+    if (down || m_order || order.precondition != m_orders)
+      return down ? OrderOutcome::kUnknown : OrderOutcome::kRefused;
+    const bool for_model = order.adapter.empty();
+    const bool loads = order.kind == OrderKind::kLoad;
+    if (loads == contents.Holds(order.model, order.adapter))
+      return OrderOutcome::kHolds;
+    ++m_orders;
+    m_order = order;
+    m_done_at = now + std::chrono::milliseconds(15);
+    m_from_store = false;
+    if (for_model && loads) {
+      const EngineModel& model = m_spec.models.at(order.model);
+      const WeightsSource source = contents.SourceOf(order.model);
+      m_from_store = source == WeightsSource::kStore;
+      if (m_from_store)
+        m_store.Begin(m_id, model.load_from_store);
+      m_done_at =
+          now + (source == WeightsSource::kMemory ? model.load_from_memory
+                                                  : model.load_from_disk);
+    }
+    return OrderOutcome::kAccepted;
+  }
+
+  void Pass(TimePoint now) {
+    if (!m_order)
+      return;
+    const bool done = m_from_store ? m_store.Done(m_id) : now >= m_done_at;
+    const bool in_use = m_order->kind == OrderKind::kUnload &&
+                        m_order->adapter.empty() && running[m_order->model] > 0;
+    if (!done || in_use)
+      return;
+    if (m_from_store)
+      m_store.Drop(m_id);
+    Complete(*std::exchange(m_order, std::nullopt));
+  }
+
+  // Loses all but its disk; orders that were under way with it.
+  void Crash() {
+    down = true;
+    m_store.Drop(m_id);
+    m_order.reset();
+    running.clear();
+    contents.models.clear();
+    contents.in_memory.clear();
+    m_orders = 0;
+  }
+  void Restart() {
+    down = false;
+    ++contents.born;
+  }
+
+  EngineReport Report() const {
+    return {.contents = contents,
+            .orders = m_orders,
+            .busy = m_order && m_order->adapter.empty()};
+  }
+  // Requests for a model that is being unloaded are turned away.
+  bool Takes(const std::string& model, const std::string& adapter) const {
+    const bool leaving =
+        m_order && m_order->kind == OrderKind::kUnload &&
+        m_order->model == model &&
+        (m_order->adapter.empty() || m_order->adapter == adapter);
+    return !down && !leaving && contents.Holds(model, adapter);
+  }
+
+  bool down = false;
+  // Requests that run, by model.
+  std::map<std::string, int> running;
+
+ private:
+  void Complete(const EngineOrder& order) {
+    if (order.kind == OrderKind::kUnload)
+      return contents.Drop(order.model, order.adapter);
+    if (order.adapter.empty()) {
+      contents.models.push_back({.name = order.model, .version = 1});
+      for (auto* copies : {&contents.in_memory, &contents.on_disk}) {
+        std::erase(*copies, order.model);
+        copies->push_back(order.model);
+      }
+      if (contents.in_memory.size() > kCopiesInMemory)
+        contents.in_memory.erase(contents.in_memory.begin());
+      return;
+    }
+    const auto model =
+        std::ranges::find(contents.models, order.model, &LoadedModel::name);
+    if (model != contents.models.end())
+      model->adapters.push_back(order.adapter);
+  }
+
+  static constexpr std::size_t kCopiesInMemory = 2;
+
+  std::string m_id;
+  const EngineSpec& m_spec;
+  SimulatedWeightStore& m_store;
+  std::uint64_t m_orders = 0;
+  std::optional<EngineOrder> m_order;
+  TimePoint m_done_at;
+  bool m_from_store = false;
+};
+
+struct FleetSimulationOptions {
+  std::size_t engines = 8;
+  std::size_t routers = 3;
+  std::size_t models = 20;
+  // Copies of each model on disks.
+  std::size_t copies = 1;
+  std::size_t adapters = 0;
+  std::size_t store_full_speed = 2;
+  std::uint64_t seed = 1;
+};
+
+// What became of the requests for one name.
+struct NameOutcome {
+  int asked = 0;
+  int served = 0;
+  TimePoint first = kNever;
+  TimePoint last;
+};
+
+class FleetSimulation {
+ public:
+  explicit FleetSimulation(const FleetSimulationOptions& options)
+      : m_options(options),
+        m_random(options.seed),
+        m_store(options.store_full_speed) {
+    m_spec = {.slots = 32, .memory_mb = 83'000, .adapter_slots = 8};
+    for (std::size_t i = 0; i < options.models; ++i) {
+      const std::string name = ModelName(i);
+      m_spec.models[name] = {
+          .name = name,
+          .memory_mb = i % 2 == 0 ? 34'300.0 : 16'100.0,
+          .load_from_store = std::chrono::milliseconds(7'800),
+          .adapter_mb = 40};
+    }
+    for (std::size_t i = 0; i < options.engines; ++i)
+      AddEngine(i);
+    for (std::size_t i = 0; i < options.routers; ++i)
+      AddRouter(i);
+    for (std::size_t i = 0; i < options.models; ++i) {
+      for (std::size_t copy = 0; copy < options.copies; ++copy) {
+        EngineContents& contents =
+            m_nodes[(i + copy * 3) % options.engines]->engine.contents;
+        contents.on_disk.push_back(ModelName(i));
+      }
+    }
+    Announce();
+  }
+
+  static std::string ModelName(std::size_t index) {
+    return "m" + std::to_string(index);
+  }
+
+  // One request for a model, or an adapter of it, at some router.
+  void Arrive(const std::string& model, const std::string& adapter = "") {
+    Router& router = *m_routers[m_random.Below(m_routers.size())];
+    const RequestId id = ++m_last_request;
+    ServingRequest request{.id = id,
+                           .trace_id = "t" + std::to_string(id),
+                           .method = "POST",
+                           .target = "/",
+                           .host = "h.example",
+                           .patience = std::chrono::seconds(20),
+                           .model = model,
+                           .adapter = adapter,
+                           .prompt_tokens = 100,
+                           .max_tokens = 50};
+    m_names[id] = WeightsName(model, adapter);
+    NameOutcome& outcome = m_outcomes[m_names[id]];
+    ++outcome.asked;
+    outcome.first = std::min(outcome.first, m_now);
+    outcome.last = m_now;
+    Feed(router,
+         RequestArrived{.request = std::make_shared<const ServingRequest>(
+                            std::move(request))});
+  }
+
+  void Pass(Duration duration) {
+    const TimePoint until = m_now + duration;
+    while (m_now < until) {
+      m_now += kStep;
+      m_store.Pass(kStep);
+      while (!m_later.empty() && m_later.top().at <= m_now) {
+        const auto action = m_later.top().action;
+        m_later.pop();
+        action();
+      }
+      for (auto& node : m_nodes) {
+        node->engine.Pass(m_now);
+        if (node->controller.NextTick(m_now) <= m_now)
+          Feed(*node, ControllerTicked{});
+      }
+      for (auto& router : m_routers) {
+        if (router->machine.NextTick(m_now) <= m_now)
+          Feed(*router, ServingTicked{});
+      }
+      if (m_now >= m_next_announcement)
+        Announce();
+    }
+  }
+
+  void Crash(std::size_t engine, Duration down) {
+    Node& node = *m_nodes[engine];
+    node.engine.Crash();
+    ++node.run;
+    for (auto& router : m_routers)
+      Feed(*router, WorkerUnlisted{.id = node.id});
+    After(down, [this, &node] {
+      node.engine.Restart();
+      Announce();
+    });
+  }
+
+  // Names that were asked for four times or more over eight seconds and never
+  // served.
+  std::vector<std::string> Starved() const {
+    std::vector<std::string> starved;
+    for (const auto& [name, outcome] : m_outcomes) {
+      const bool through_the_day =
+          outcome.asked >= 4 &&
+          outcome.last - outcome.first >= std::chrono::seconds(8);
+      if (through_the_day && outcome.served == 0)
+        starved.push_back(name);
+    }
+    return starved;
+  }
+  int Served() const {
+    int served = 0;
+    for (const auto& [name, outcome] : m_outcomes)
+      served += outcome.served;
+    return served;
+  }
+  const SimulatedWeightStore& store() const { return m_store; }
+  std::size_t engines() const { return m_nodes.size(); }
+  Random& random() { return m_random; }
+
+ private:
+  static constexpr Duration kStep = std::chrono::milliseconds(5);
+  static constexpr Duration kNetworkDelay = std::chrono::milliseconds(5);
+  static constexpr Duration kRunTime = std::chrono::milliseconds(400);
+  static constexpr Duration kHeartbeat = std::chrono::milliseconds(1'200);
+  static constexpr std::uint16_t kControllerPort = 7;
+
+  struct Node {
+    Node(std::string name,
+         std::string host,
+         const EngineSpec& spec,
+         SimulatedWeightStore& store)
+        : id(std::move(name)),
+          ip(std::move(host)),
+          engine(id, spec, store),
+          controller(id) {}
+    std::string id;
+    std::string ip;
+    SimulatedEngine engine;
+    EngineController controller;
+    // Counts the engine's runs: what an earlier one had under way is void.
+    int run = 0;
+  };
+  struct Router {
+    Router(std::string name, std::string at)
+        : vm(std::move(name)),
+          endpoint(std::move(at)),
+          machine({.vm = vm,
+                   .data_centre = "a",
+                   .endpoint = endpoint,
+                   .controller_port = kControllerPort,
+                   .retry_reserve = 1'000}) {}
+    std::string vm;
+    std::string endpoint;
+    ServingRouter machine;
+    std::set<AttemptNumber> cancelled;
+  };
+  struct Later {
+    TimePoint at;
+    std::uint64_t order = 0;
+    std::function<void()> action;
+    bool operator<(const Later& other) const {
+      return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+  };
+
+  void After(Duration delay, std::function<void()> action) {
+    m_later.push({m_now + delay, ++m_last_action, std::move(action)});
+  }
+
+  void AddEngine(std::size_t index) {
+    m_nodes.push_back(std::make_unique<Node>("w" + std::to_string(index),
+                                             "10.0.0." + std::to_string(index),
+                                             m_spec, m_store));
+    Feed(*m_nodes.back(), EngineSpecReceived{.spec = m_spec});
+    Feed(*m_nodes.back(), FenceReceived{.fence = 7});
+  }
+
+  void AddRouter(std::size_t index) {
+    m_routers.push_back(std::make_unique<Router>(
+        "r" + std::to_string(index), "10.1.0." + std::to_string(index) + ":7"));
+    Router& router = *m_routers.back();
+    ServingConfig config{.version = 1};
+    config.routes = {{.name = "review",
+                      .host = "h.example",
+                      .prefix = "/",
+                      .kind = RequestKind::kStream,
+                      .timeout = std::chrono::seconds(20),
+                      .target_latency = std::chrono::milliseconds(2'500),
+                      .splits = {{.service = "engines"}},
+                      .open_to_all = true}};
+    config.services["engines"] = {
+        .name = "engines", .max_connections = 700, .engine = m_spec};
+    Feed(router, ConfigReceived{.config = std::make_shared<const ConfigIndex>(
+                                    std::move(config))});
+    Feed(router, IncarnationReceived{.incarnation = 1});
+    for (const auto& one : m_routers) {
+      for (const auto& other : m_routers)
+        Feed(*one, RouterSeen{.record = {.vm = other->vm,
+                                         .data_centre = "a",
+                                         .endpoint = other->endpoint,
+                                         .incarnation = 1},
+                              .revision = static_cast<Revision>(index + 1)});
+    }
+  }
+
+  void Announce() {
+    m_next_announcement = m_now + kHeartbeat;
+    for (auto& router : m_routers) {
+      for (const auto& node : m_nodes) {
+        if (node->engine.down)
+          continue;
+        Feed(*router,
+             WorkerListed{.entry = {.id = node->id,
+                                    .service = "engines",
+                                    .address = node->ip + ":80",
+                                    .data_centre = "a",
+                                    .contents = node->engine.contents}});
+      }
+    }
+  }
+
+  void Feed(Node& node, ControllerEvent event) {
+    std::deque<ControllerEvent> events{std::move(event)};
+    while (!events.empty()) {
+      ControllerEvent next = std::move(events.front());
+      events.pop_front();
+      for (ControllerEffect& effect :
+           node.controller.Handle(m_now, std::move(next))) {
+        if (std::holds_alternative<ReadReport>(effect)) {
+          events.push_back(
+              ReportRead{.report = node.engine.down
+                                       ? std::nullopt
+                                       : std::optional(node.engine.Report())});
+        } else if (const auto* order = std::get_if<SendOrder>(&effect)) {
+          events.push_back(
+              OrderAnswered{.outcome = node.engine.Order(m_now, order->order)});
+        } else if (auto* sent = std::get_if<SendToEndpoint>(&effect)) {
+          Deliver(
+              PeerSender{
+                  .vm = node.id, .incarnation = 1, .endpoint = node.ip + ":7"},
+              std::move(*sent));
+        }
+      }
+    }
+  }
+
+  void Feed(Router& router, ServingEvent event) {
+    for (ServingEffect& effect :
+         router.machine.Handle(m_now, std::move(event))) {
+      if (auto* attempt = std::get_if<SendAttempt>(&effect)) {
+        Run(router, *attempt);
+      } else if (const auto* gone = std::get_if<CancelAttempt>(&effect)) {
+        router.cancelled.insert(gone->attempt);
+      } else if (auto* sent = std::get_if<SendToEndpoint>(&effect)) {
+        Deliver(
+            PeerSender{
+                .vm = router.vm, .incarnation = 1, .endpoint = router.endpoint},
+            std::move(*sent));
+      } else if (const auto* ended = std::get_if<AnswerEnded>(&effect)) {
+        ++m_outcomes[m_names.at(ended->id)].served;
+      } else if (const auto* whole = std::get_if<AnswerWhole>(&effect)) {
+        if (whole->head.status == 200)
+          ++m_outcomes[m_names.at(whole->id)].served;
+      }
+    }
+  }
+
+  void Deliver(PeerSender from, SendToEndpoint sent) {
+    After(kNetworkDelay, [this, from, sent] {
+      for (auto& router : m_routers) {
+        if (router->endpoint == sent.endpoint)
+          Feed(*router, PeerReceived{.from = from, .message = sent.message});
+      }
+      for (auto& node : m_nodes) {
+        if (node->ip + ":7" == sent.endpoint)
+          Feed(*node, PeerReceived{.from = from, .message = sent.message});
+      }
+    });
+  }
+
+  void Run(Router& router, const SendAttempt& attempt) {
+    const auto found = std::ranges::find_if(
+        m_nodes, [&](const auto& node) { return node->id == attempt.worker; });
+    Node& node = **found;
+    const AttemptNumber number = attempt.attempt;
+    const std::string model = attempt.request->model;
+    const std::string adapter = attempt.request->adapter;
+    After(kNetworkDelay, [this, &router, &node, number, model, adapter] {
+      if (node.engine.down)
+        return Feed(router, AttemptBroken{.attempt = number,
+                                          .failure = AttemptFailure::kNotSent});
+      if (!node.engine.Takes(model, adapter))
+        return Feed(router, AttemptAnswered{.attempt = number,
+                                            .head = {.status = 421,
+                                                     .not_executed = true,
+                                                     .is_signed = true}});
+      ++node.engine.running[model];
+      After(kRunTime, [this, &router, &node, number, model, run = node.run] {
+        if (run != node.run)
+          return Feed(router, AttemptBroken{.attempt = number});
+        --node.engine.running[model];
+        Feed(router,
+             AttemptAnswered{.attempt = number,
+                             .head = {.status = 200, .is_signed = true}});
+        Feed(router,
+             AttemptBytes{.attempt = number, .bytes = "id: 1\ndata: x\n\n"});
+        Feed(router, AttemptEnded{.attempt = number});
+      });
+    });
+  }
+
+  FleetSimulationOptions m_options;
+  Random m_random;
+  EngineSpec m_spec;
+  SimulatedWeightStore m_store;
+  TimePoint m_now = TimePoint(std::chrono::seconds(1'000));
+  TimePoint m_next_announcement;
+  std::vector<std::unique_ptr<Node>> m_nodes;
+  std::vector<std::unique_ptr<Router>> m_routers;
+  std::priority_queue<Later> m_later;
+  std::uint64_t m_last_action = 0;
+  RequestId m_last_request = 0;
+  std::map<RequestId, std::string> m_names;
+  std::map<std::string, NameOutcome> m_outcomes;
+};
+
+}  // namespace boragepick
