Limit the loads that run from the weight store over the fleet

Cause: nothing limited how many engines load from the weight store. A load's time is proportional to the loads under way when it begins (measured: 7.8 s up to 2, 11.7 s as third, 46.8 s as twelfth), and an engine that loads takes no other order. Engines that crashed or whose requests were moved sent more loads there, which blocked more engines, which moved more: 43 of 48 engines were in such loads from second 14 on. Class: congestion collapse of a shared resource without admission. Only the preparation of idle models knew a limit, for itself.

Ruled out by load_delayed lines: controllers that make no room (13 of 2,941), asks that move on (1).

Change: a controller loads from the store only with a place; the router that rendezvous hashing names keeps the list of places (the SlotSemaphore that agents use), two more take over when it is silent, and a place that is held moves along. Places go to what nobody loads yet and what most requests wait for. An engine that waits for a place carries out its other orders. How many places there are is found by how long loads take, or set by ServingOptions::store_loads.

A test of 'explain' had an engine with no copy of its model where its router knew one on disk; the engine has it now, as its order would need a place else.

--- a/source/core/engine/engine_controller.cc
+++ b/source/core/engine/engine_controller.cc
@@ -36,6 +36,8 @@
 constexpr Duration kLongestOrderDelay = std::chrono::seconds(15);
 constexpr Duration kFenceAskPause = std::chrono::milliseconds(300);
 constexpr std::size_t kMaxAdaptersComing = 4;
+// A place at the weight store that can't be used for so long goes to others.
+constexpr Duration kUnusedPlace = std::chrono::seconds(4);
 // Weights that have waited for so long since they were asked for, or since the
 // last line about them, get a line in the log.
 constexpr Duration kDelayWorthLogging = std::chrono::seconds(2);
@@ -91,6 +93,7 @@
     Emit(AskFence{});
   }
   DropSettledNeeds(now);
+  KeepStorePlace(now);
   LogDelays(now);
   if (!m_reading && now >= m_next_read) {
     m_reading = true;
@@ -115,18 +118,25 @@
   // why: an order that is under way is the engine's to finish; nothing here
   // has to be waited for
   m_draining = true;
+  m_place.GiveBack();
   Emit(ControllerDrained{});
 }
 
 void EngineController::On(TimePoint now, const PeerReceived& event) {
   if (const auto* ask = std::get_if<LoadAsk>(&event.message))
-    TakeAsk(now, event.from.endpoint, *ask);
+    return TakeAsk(now, event.from.endpoint, *ask);
+  const auto* grant = std::get_if<SlotGrant>(&event.message);
+  if (grant == nullptr)
+    return;
+  m_place.Take(now, event.from.endpoint, *grant);
+  Proceed(now);
 }
 
 void EngineController::TakeAsk(TimePoint now,
                                const std::string& from,
                                const LoadAsk& ask) {
   m_listeners[from] = now;
+  m_place.SetKeepers(ask.slot_keepers);
   for (const ModelValue& value : ask.values)
     m_values[value.model][from] = {.milli_requests = value.milli_requests,
                                    .at = now};
@@ -182,6 +192,7 @@
     if (m_order)
       KeepIfLost(*m_order);
     m_order.reset();
+    m_place.GiveBack();
     m_in_turn.clear();
     m_loaded_at.clear();
   }
@@ -277,6 +288,8 @@
     m_load_times[open.source].Add(took);
   }
   Log(LogEvent::kWeightsLoaded, std::move(fields));
+  if (order.model == m_place.model() && order.adapter.empty())
+    m_place.Finish(took, m_spec->models.at(order.model).load_from_store);
 }
 
 void EngineController::LogDelays(TimePoint now) {
@@ -310,6 +323,8 @@
     return LoadDelay::kOrderUnderWay;
   if (m_report->busy)
     return LoadDelay::kEngineBusy;
+  if (NeedsStore(need) && !m_place.Allows(need.model))
+    return LoadDelay::kNoStorePlace;
   return OrderFor(now, need) ? LoadDelay::kOthersFirst
                              : LoadDelay::kNothingGivesWay;
 }
@@ -340,6 +355,35 @@
   return loads;
 }
 
+bool EngineController::NeedsStore(const Need& need) const {
+  return need.adapter.empty() &&
+         m_report->contents.SourceOf(need.model) == WeightsSource::kStore;
+}
+
+void EngineController::KeepStorePlace(TimePoint now) {
+  const bool loading = LoadsFromStore();
+  if (m_report && m_spec && !loading) {
+    const auto wants = [this](const Need& need) {
+      return NeedsStore(need) && m_spec->models.contains(need.model);
+    };
+    const auto placed =
+        std::ranges::find(m_needs, m_place.model(), &Need::model);
+    const bool unused = m_place.granted_at() != kNever &&
+                        now - m_place.granted_at() > kUnusedPlace;
+    const auto need = placed != m_needs.end() && wants(*placed) && !unused
+                          ? placed
+                          : std::ranges::find_if(m_needs, wants);
+    if (unused || need == m_needs.end())
+      m_place.GiveBack();
+    else
+      m_place.Want(now, need->model,
+                   static_cast<std::uint32_t>(need->Waiting()));
+  }
+  m_place.Tick(now);
+  for (SendToEndpoint& message : m_place.TakeMessages())
+    Emit(std::move(message));
+}
+
 void EngineController::Proceed(TimePoint now) {
   const bool possible = m_fence && m_spec && m_report && !m_order &&
                         !m_report->busy && !m_draining;
@@ -347,6 +391,8 @@
     return;
   SortNeeds();
   for (const Need& need : m_needs) {
+    if (NeedsStore(need) && !m_place.Allows(need.model))
+      continue;
     if (auto order = OrderFor(now, need))
       return Send(now, need, *std::move(order));
   }
--- a/source/core/engine/engine_controller.h
+++ b/source/core/engine/engine_controller.h
@@ -16,6 +16,7 @@
 #include "common/log_event.h"
 #include "common/time.h"
 #include "core/engine/engine_messages.h"
+#include "core/engine/store_place.h"
 #include "core/peer_messages.h"
 #include "core/serving/serving_config.h"
 
@@ -47,6 +48,7 @@
   kEngineBusy,       // the engine carries out an order
   kOthersFirst,      // the engine takes the next order for another need
   kNothingGivesWay,  // no room, and what is loaded is worth more
+  kNoStorePlace,     // the weight store bears no more loads now
   kNotInConfig,
 };
 
@@ -56,6 +58,7 @@
     EnumName<LoadDelay>{LoadDelay::kEngineBusy, "engine_busy"},
     EnumName<LoadDelay>{LoadDelay::kOthersFirst, "others_first"},
     EnumName<LoadDelay>{LoadDelay::kNothingGivesWay, "nothing_gives_way"},
+    EnumName<LoadDelay>{LoadDelay::kNoStorePlace, "no_store_place"},
     EnumName<LoadDelay>{LoadDelay::kNotInConfig, "not_in_config"},
 }};
 
@@ -144,7 +147,7 @@
   const std::map<WeightsSource, LatencyHistogram>& load_times() const {
     return m_load_times;
   }
-  // The model being loaded from the weight store, if any.
+  // Whether a model is being loaded from the weight store.
   bool LoadsFromStore() const;
 
  private:
@@ -196,6 +199,11 @@
   void RecordLoad(TimePoint now, const OpenOrder& open);
   void LogDelays(TimePoint now);
   LoadDelay DelayOf(TimePoint now, const Need& need) const;
+  // Whether the need's weights would have to come from the weight store.
+  bool NeedsStore(const Need& need) const;
+  // Asks for a place at the weight store for the first need that wants one, and
+  // gives back one that is of no more use.
+  void KeepStorePlace(TimePoint now);
   // Sends the next order, if one is wanted and possible.
   void Proceed(TimePoint now);
   // The order in which needs are looked at: adapters, then the model for which
@@ -237,6 +245,7 @@
   TimePoint m_next_read = TimePoint{};
   std::vector<Need> m_needs;
   std::optional<OpenOrder> m_order;
+  StorePlace m_place;
   // Orders without an answer, also of the engine's earlier runs: it may carry
   // them out late, when its count of orders has come to their precondition.
   std::vector<OpenOrder> m_lost;
--- a/source/core/engine/engine_messages.h
+++ b/source/core/engine/engine_messages.h
@@ -31,6 +31,9 @@
   std::uint32_t milli_requests = 0;
   // What the asker makes of the models and adapters that are loaded there.
   std::vector<ModelValue> values;
+  // Endpoints of the routers that divide the places at the weight store: the
+  // first one, and who is asked when it is silent.
+  std::vector<std::string> slot_keepers;
 };
 
 // Controller to the routers that asked it lately, whenever something changes.
--- a/source/core/peer_messages.h
+++ b/source/core/peer_messages.h
@@ -152,11 +152,20 @@
 // Asks for a place among the loads that the weight store bears at once.
 struct SlotAsk {
   std::uint64_t number = 0;
-  // "weights" or "adapters".
+  // See core/routing/slot_semaphore.
   std::string pool;
   Priority priority = Priority::kInteractive;
   // Gives the place back, or withdraws the ask.
   bool done = false;
+  // The asker has the place already, from whoever kept the list before.
+  bool held = false;
+  // What is to be loaded, and the requests that wait for it.
+  std::string name;
+  std::uint32_t waiting = 0;
+  // With `done`: the time that the load took, and its time at full speed; zero
+  // when nothing was loaded.
+  Duration took = Duration::zero();
+  Duration expected = Duration::zero();
 };
 
 // The answer to each ask; one that waits is answered, too.
--- a/source/core/routing/slot_semaphore.cc
+++ b/source/core/routing/slot_semaphore.cc
@@ -20,6 +20,13 @@
   return 1;
 }
 
+std::size_t SlotSemaphore::Limit(const std::string& pool) const {
+  if (pool != kStoreLoadSlots)
+    return SlotsOf(pool);
+  return m_options.store_loads > 0 ? m_options.store_loads
+                                   : m_store_loads.value();
+}
+
 std::vector<SlotSemaphore::Grant> SlotSemaphore::HandleAsk(
     TimePoint now,
     const PeerSender& from,
@@ -29,22 +36,35 @@
   const Holder holder{
       .vm = from.vm, .incarnation = from.incarnation, .number = ask.number};
   if (ask.done) {
-    pool.erase(holder);
+    const auto ended = pool.find(holder);
+    if (ended != pool.end()) {
+      if (ask.pool == kStoreLoadSlots)
+        m_store_loads.Record(now, ended->second.under_way, ask.took,
+                             ask.expected);
+      pool.erase(ended);
+    }
   } else {
     const auto [entry, fresh] = pool.try_emplace(holder);
+    Ask& known = entry->second;
     if (fresh)
-      entry->second.order = ++m_last_order;
-    entry->second.priority = ask.priority;
-    entry->second.repeated = now;
-    if (entry->second.granted)
-      grants.push_back(
-          {.vm = from.vm, .grant = {.number = ask.number, .pool = ask.pool}});
+      known.order = ++m_last_order;
+    known.priority = ask.priority;
+    known.repeated = now;
+    known.endpoint = from.endpoint;
+    known.name = ask.name;
+    known.waiting = ask.waiting;
+    known.granted = known.granted || ask.held;
+    if (known.granted)
+      grants.push_back({.vm = from.vm,
+                        .endpoint = from.endpoint,
+                        .grant = {.number = ask.number, .pool = ask.pool}});
   }
   Fill(ask.pool, pool, grants);
   const auto asked = pool.find(holder);
   if (asked != pool.end() && !asked->second.granted) {
     grants.push_back(
         {.vm = from.vm,
+         .endpoint = from.endpoint,
          .grant = {.number = ask.number, .pool = ask.pool, .granted = false}});
   }
   if (pool.empty())
@@ -52,28 +72,42 @@
   return grants;
 }
 
+SlotSemaphore::Pool::iterator SlotSemaphore::Next(Pool& pool) {
+  const auto rank = [&pool](const Ask& ask) {
+    // why: a second copy comes after what nobody loads yet
+    const bool is_copy =
+        !ask.name.empty() &&
+        std::ranges::any_of(pool, [&ask](const auto& other) {
+          return other.second.granted && other.second.name == ask.name;
+        });
+    return std::tuple(ask.priority, is_copy, -std::int64_t{ask.waiting},
+                      ask.order);
+  };
+  auto best = pool.end();
+  for (auto it = pool.begin(); it != pool.end(); ++it) {
+    if (it->second.granted)
+      continue;
+    if (best == pool.end() || rank(it->second) < rank(best->second))
+      best = it;
+  }
+  return best;
+}
+
 void SlotSemaphore::Fill(const std::string& name,
                          Pool& pool,
                          std::vector<Grant>& grants) {
   auto held = static_cast<std::size_t>(std::ranges::count_if(
       pool, [](const auto& entry) { return entry.second.granted; }));
-  while (held < SlotsOf(name)) {
-    auto best = pool.end();
-    for (auto it = pool.begin(); it != pool.end(); ++it) {
-      if (it->second.granted)
-        continue;
-      const auto rank = [](const Ask& ask) {
-        return std::tuple(ask.priority, ask.order);
-      };
-      if (best == pool.end() || rank(it->second) < rank(best->second))
-        best = it;
-    }
-    if (best == pool.end())
+  while (held < Limit(name)) {
+    const auto next = Next(pool);
+    if (next == pool.end())
       return;
-    best->second.granted = true;
-    ++held;
-    grants.push_back({.vm = best->first.vm,
-                      .grant = {.number = best->first.number, .pool = name}});
+    Ask& ask = next->second;
+    ask.granted = true;
+    ask.under_way = ++held;
+    grants.push_back({.vm = next->first.vm,
+                      .endpoint = ask.endpoint,
+                      .grant = {.number = next->first.number, .pool = name}});
   }
 }
 
--- a/source/core/routing/slot_semaphore.h
+++ b/source/core/routing/slot_semaphore.h
@@ -12,16 +12,25 @@
 
 #include "common/time.h"
 #include "core/peer_messages.h"
+#include "core/routing/measured_limit.h"
 
 namespace boragepick {
 
 inline constexpr const char* kWeightSlots = "weights";
 inline constexpr const char* kAdapterSlots = "adapters";
 inline constexpr const char* kTrialSlotsPrefix = "trial/";
+// Loads that engine controllers begin from the weight store: as many as it is
+// found to bear.
+inline constexpr const char* kStoreLoadSlots = "store_loads";
 
-// How many places `pool` has.
+// How many places `pool` has, where that is fixed.
 std::size_t SlotsOf(const std::string& pool);
 
+struct SlotSemaphoreOptions {
+  // Loads that the weight store bears at once at full speed; 0: found out.
+  std::size_t store_loads = 0;
+};
+
 class SlotSemaphore {
  public:
   // Asks are repeated every kAskPeriod; one not repeated for so long is
@@ -31,9 +40,13 @@
 
   struct Grant {
     std::string vm;
+    std::string endpoint;
     SlotGrant grant;
   };
 
+  SlotSemaphore() = default;
+  explicit SlotSemaphore(SlotSemaphoreOptions options) : m_options(options) {}
+
   // The grants to be sent. An ask that holds its place already is granted
   // again.
   std::vector<Grant> HandleAsk(TimePoint now,
@@ -42,6 +55,7 @@
   std::vector<Grant> Tick(TimePoint now);
 
   std::size_t Holding(const std::string& pool) const;
+  std::size_t Limit(const std::string& pool) const;
 
  private:
   struct Holder {
@@ -55,11 +69,20 @@
     std::uint64_t order = 0;
     TimePoint repeated;
     bool granted = false;
+    std::string endpoint;
+    std::string name;
+    std::uint32_t waiting = 0;
+    // Places that were taken when it was granted, with this one.
+    std::size_t under_way = 0;
   };
   using Pool = std::map<Holder, Ask>;
 
   void Fill(const std::string& name, Pool& pool, std::vector<Grant>& grants);
+  // The ask that is granted next.
+  static Pool::iterator Next(Pool& pool);
 
+  SlotSemaphoreOptions m_options;
+  MeasuredLimit m_store_loads;
   std::map<std::string, Pool> m_pools;
   std::uint64_t m_last_order = 0;
 };
--- a/source/core/serving/request_loads.cc
+++ b/source/core/serving/request_loads.cc
@@ -70,10 +70,12 @@
   // why: asking the same worker again is no new decision
   if (!planned->again)
     LogAsk(need, *planned, reason);
+  LoadAsk ask = planned->ask;
+  ask.slot_keepers = m_state.fleet.SlotKeepers();
   m_state.Emit(SendToEndpoint{
       .endpoint = IpOf(planned->address) + ":" +
                   std::to_string(m_state.options.controller_port),
-      .message = planned->ask});
+      .message = std::move(ask)});
 }
 
 void RequestTable::LogAsk(const WeightsNeed& need,
--- a/source/core/serving/serving_fleet.cc
+++ b/source/core/serving/serving_fleet.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "common/hashing.h"
+#include "core/routing/slot_semaphore.h"
+
 namespace boragepick {
 
 namespace {
@@ -19,6 +22,7 @@
 // earlier holder have lapsed: most of those were spent or died with their
 // borrower, and the slack covers the rest.
 constexpr double kEarlyPartOfShare = 0.25;
+constexpr std::size_t kSlotKeepers = 3;
 
 TeamSpec SpecOf(const ServingTeam& team, std::int64_t quota_slack) {
   const double slack = team.unit == QuotaUnit::kTokens
@@ -211,6 +215,22 @@
   Emit(WriteSharePage{.page = *std::move(page)});
 }
 
+std::vector<std::string> ServingFleet::SlotKeepers() const {
+  std::vector<std::string> keepers;
+  for (const std::string& vm :
+       RendezvousOrder(kStoreLoadSlots, m_roster.LiveRouters())) {
+    const auto record = m_records.find(vm);
+    if (record != m_records.end())
+      keepers.push_back(record->second.endpoint);
+    if (keepers.size() == kSlotKeepers)
+      break;
+  }
+  // why: while the other routers are not known, a place is still needed
+  if (keepers.empty())
+    keepers.push_back(m_options.endpoint);
+  return keepers;
+}
+
 void ServingFleet::Broadcast(const PeerMessage& message) {
   for (const auto& [vm, record] : m_records) {
     if (vm != m_options.vm)
--- a/source/core/serving/serving_fleet.h
+++ b/source/core/serving/serving_fleet.h
@@ -102,6 +102,10 @@
   void SetWaiting(const std::string& team, Tokens first, Tokens all);
   bool IsLimited(const std::string& team) const;
 
+  // Endpoints of the routers that keep the places at the weight store: the
+  // first one, and who takes over when it is silent.
+  std::vector<std::string> SlotKeepers() const;
+
   // Tells all other routers.
   void Broadcast(const PeerMessage& message);
 
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -16,7 +16,9 @@
 }  // namespace
 
 ServingRouter::ServingRouter(ServingOptions options)
-    : m_state(std::move(options)), m_requests(m_state) {}
+    : m_state(std::move(options)),
+      m_requests(m_state),
+      m_slots({.store_loads = m_state.options.store_loads}) {}
 
 std::vector<ServingEffect> ServingRouter::Handle(TimePoint now,
                                                  ServingEvent event) {
@@ -156,6 +158,8 @@
     return m_state.fleet.Take(now, event.from.vm, *loan);
   if (const auto* notice = std::get_if<CrashNotice>(&event.message))
     return m_requests.TakeCrash(now, *notice);
+  if (const auto* ask = std::get_if<SlotAsk>(&event.message))
+    return SendGrants(m_slots.HandleAsk(now, event.from, *ask));
   const auto* news = std::get_if<EngineNews>(&event.message);
   if (news == nullptr)
     return;
@@ -164,6 +168,13 @@
     m_requests.Reconsider(now);
 }
 
+void ServingRouter::SendGrants(
+    const std::vector<SlotSemaphore::Grant>& grants) {
+  for (const SlotSemaphore::Grant& grant : grants)
+    m_state.Emit(
+        SendToEndpoint{.endpoint = grant.endpoint, .message = grant.grant});
+}
+
 void ServingRouter::On(TimePoint now, const ServingDrainAsked& /*event*/) {
   if (m_draining)
     return;
@@ -177,6 +188,7 @@
 void ServingRouter::On(TimePoint now, const ServingTicked& /*event*/) {
   m_state.fleet.Tick(now);
   CheckDoubtful(now);
+  SendGrants(m_slots.Tick(now));
   m_requests.Tick(now);
   if (now < m_next_preparation || now - m_last_new_worker < kListSettled)
     return;
--- a/source/core/serving/serving_router.h
+++ b/source/core/serving/serving_router.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "common/time.h"
+#include "core/routing/slot_semaphore.h"
 #include "core/serving/request_table.h"
 #include "core/serving/serving_messages.h"
 #include "core/serving/serving_state.h"
@@ -61,9 +62,12 @@
   void CheckDrain(TimePoint now);
   // Carries on what the fleet's part left as effects.
   void CollectFleet(TimePoint now);
+  void SendGrants(const std::vector<SlotSemaphore::Grant>& grants);
 
   ServingState m_state;
   RequestTable m_requests;
+  // Places at the weight store, while this router keeps them.
+  SlotSemaphore m_slots;
   std::size_t m_routers = 0;
   bool m_ready = false;
   bool m_keys_current = false;
--- a/source/core/serving/serving_state.h
+++ b/source/core/serving/serving_state.h
@@ -28,6 +28,8 @@
   Duration key_revocation = std::chrono::seconds(5);
   // The port at which the controller beside a worker takes messages.
   std::uint16_t controller_port = 0;
+  // Loads that the weight store bears at once at full speed; 0: found out.
+  std::size_t store_loads = 0;
   // The fleet's retries: a share of first requests, and a reserve.
   double retry_share = 0.2;
   double retry_reserve = 50;
--- a/source/unit_tests/core/explain/request_story_test.cc
+++ b/source/unit_tests/core/explain/request_story_test.cc
@@ -97,7 +97,8 @@
   };
   feed(EngineSpecReceived{.spec = *SmallConfig().services["engines"].engine});
   feed(FenceReceived{.fence = 7});
-  feed(ReportRead{.report = EngineReport{.contents = {.born = 1}}});
+  feed(ReportRead{
+      .report = EngineReport{.contents = {.born = 1, .on_disk = {"m3"}}}});
   gateway.Arrive("/review/1", "m3");
   for (const SendToEndpoint& sent : gateway.Take<SendToEndpoint>())
     feed(PeerReceived{.from = {.vm = "r1", .endpoint = "10.1.0.1:7"},
--- a/source/unit_tests/core/routing_test.cc
+++ b/source/unit_tests/core/routing_test.cc
@@ -217,6 +217,83 @@
   EXPECT_EQ(grants[0].vm, "w4");
 }
 
+SlotAsk StoreAsk(std::uint64_t number,
+                 const std::string& name,
+                 std::uint32_t waiting = 1) {
+  return {.number = number,
+          .pool = kStoreLoadSlots,
+          .name = name,
+          .waiting = waiting};
+}
+
+TEST(SlotSemaphore, WhatMostWaitForAndNobodyLoadsComesFirst) {
+  SlotSemaphore semaphore({.store_loads = 1});
+  const PeerSender one{.vm = "w1", .incarnation = 1, .endpoint = "e1"};
+  semaphore.HandleAsk(kNow, one, StoreAsk(1, "a"));
+  semaphore.HandleAsk(kNow, one, StoreAsk(2, "a", 50));
+  semaphore.HandleAsk(kNow, one, StoreAsk(3, "b", 2));
+  semaphore.HandleAsk(kNow, one, StoreAsk(4, "c", 5));
+  EXPECT_EQ(semaphore.Holding(kStoreLoadSlots), 1U);
+  SlotAsk ended = StoreAsk(1, "a");
+  ended.done = true;
+  const auto next = semaphore.HandleAsk(kNow, one, ended);
+  ASSERT_EQ(next.size(), 1U);
+  EXPECT_EQ(next[0].grant.number, 2U);
+  EXPECT_EQ(next[0].endpoint, "e1");
+  semaphore.HandleAsk(kNow, one, StoreAsk(5, "a", 90));
+  ended.number = 2;
+  EXPECT_EQ(semaphore.HandleAsk(kNow, one, ended)[0].grant.number, 5U);
+}
+
+// A second copy waits until what nobody loads has been granted.
+TEST(SlotSemaphore, ASecondCopyComesAfterOtherNames) {
+  SlotSemaphore semaphore({.store_loads = 2});
+  const PeerSender one{.vm = "w1", .incarnation = 1};
+  semaphore.HandleAsk(kNow, one, StoreAsk(1, "a"));
+  semaphore.HandleAsk(kNow, one, StoreAsk(2, "x"));
+  semaphore.HandleAsk(kNow, one, StoreAsk(3, "a", 50));
+  semaphore.HandleAsk(kNow, one, StoreAsk(4, "b"));
+  SlotAsk ended = StoreAsk(2, "x");
+  ended.done = true;
+  const auto next = semaphore.HandleAsk(kNow, one, ended);
+  ASSERT_EQ(next.size(), 1U);
+  EXPECT_EQ(next[0].grant.number, 4U);
+}
+
+// A router that begins to keep the list counts the places that are held.
+TEST(SlotSemaphore, AHeldPlaceIsTakenOver) {
+  SlotSemaphore semaphore({.store_loads = 1});
+  SlotAsk held = StoreAsk(9, "a");
+  held.held = true;
+  semaphore.HandleAsk(kNow, {.vm = "w1", .incarnation = 1}, held);
+  const auto answer = semaphore.HandleAsk(kNow, {.vm = "w2", .incarnation = 1},
+                                          StoreAsk(1, "b"));
+  ASSERT_EQ(answer.size(), 1U);
+  EXPECT_FALSE(answer[0].grant.granted);
+}
+
+// Loads that share a store of which `knee` run at full speed.
+std::size_t LimitFoundFor(std::size_t knee) {
+  MeasuredLimit limit;
+  for (int i = 0; i < 60; ++i) {
+    const std::size_t under_way = limit.value();
+    const double slowdown = std::max(
+        1.0, static_cast<double>(under_way) / static_cast<double>(knee));
+    const double took_ms = 6'000 * slowdown + 80;
+    limit.Record(kNow + seconds(i), under_way,
+                 milliseconds(static_cast<int>(took_ms)), seconds(6));
+  }
+  return limit.value();
+}
+
+RC_GTEST_PROP(MeasuredLimit, FindsWhatTheStoreBears, ()) {
+  const auto knee = *rc::gen::inRange<std::size_t>(1, 17);
+  const std::size_t found = LimitFoundFor(knee);
+  // why: a load counts as slowed down from a quarter above its time on
+  RC_ASSERT(found >= knee);
+  RC_ASSERT(found <= knee + knee / 4 + 1);
+}
+
 RC_GTEST_PROP(EventStream, PassesWholeEventsHoweverTheBytesAreCut, ()) {
   const auto tokens = *rc::gen::inRange(0, 30);
   std::string text;
--- a/source/unit_tests/core/serving/fleet_simulation.h
+++ b/source/unit_tests/core/serving/fleet_simulation.h
@@ -180,6 +180,8 @@
   std::size_t copies = 1;
   std::size_t adapters = 0;
   std::size_t store_full_speed = 2;
+  // What the routers' settings say of it; 0: found out.
+  std::size_t store_loads = 2;
   std::uint64_t seed = 1;
 };
 
@@ -331,13 +333,14 @@
     int run = 0;
   };
   struct Router {
-    Router(std::string name, std::string at)
+    Router(std::string name, std::string at, std::size_t store_loads)
         : vm(std::move(name)),
           endpoint(std::move(at)),
           machine({.vm = vm,
                    .data_centre = "a",
                    .endpoint = endpoint,
                    .controller_port = kControllerPort,
+                   .store_loads = store_loads,
                    .retry_reserve = 1'000}) {}
     std::string vm;
     std::string endpoint;
@@ -367,7 +370,8 @@
 
   void AddRouter(std::size_t index) {
     m_routers.push_back(std::make_unique<Router>(
-        "r" + std::to_string(index), "10.1.0." + std::to_string(index) + ":7"));
+        "r" + std::to_string(index), "10.1.0." + std::to_string(index) + ":7",
+        m_options.store_loads));
     Router& router = *m_routers.back();
     ServingConfig config{.version = 1};
     config.routes = {{.name = "review",
--- a/source/wire/peer_codec.cc
+++ b/source/wire/peer_codec.cc
@@ -332,13 +332,23 @@
   out.set_pool(message.pool);
   out.set_priority(Number(message.priority));
   out.set_done(message.done);
+  out.set_held(message.held);
+  out.set_name(message.name);
+  out.set_waiting(message.waiting);
+  out.set_took_us(message.took.count());
+  out.set_expected_us(message.expected.count());
 }
 
 SlotAsk Get(wire::SlotAsk& in) {
   return {.number = in.number(),
           .pool = in.pool(),
           .priority = CheckedEnum(in.priority(), kPriorityNames),
-          .done = in.done()};
+          .done = in.done(),
+          .held = in.held(),
+          .name = in.name(),
+          .waiting = in.waiting(),
+          .took = Duration(in.took_us()),
+          .expected = Duration(in.expected_us())};
 }
 
 void Put(const SlotGrant& message, wire::Envelope& envelope) {
@@ -363,6 +373,8 @@
     added.set_model(value.model);
     added.set_milli_requests(value.milli_requests);
   }
+  for (const std::string& endpoint : message.slot_keepers)
+    out.add_slot_keepers(endpoint);
 }
 
 LoadAsk Get(wire::LoadAsk& in) {
@@ -373,6 +385,7 @@
   for (const wire::ModelValue& value : in.values())
     ask.values.push_back(
         {.model = value.model(), .milli_requests = value.milli_requests()});
+  ask.slot_keepers.assign(in.slot_keepers().begin(), in.slot_keepers().end());
   return ask;
 }
 
