Weight store places: age counts, and one slow load is not held against the store

The next place goes to the largest product of requests and time waited; a number of loads that was found too many is tried again after 20 s instead of 2 minutes. SlotSemaphore.WhatFewWaitForIsNotPassedByForEver and MeasuredLimit. RecoversFromOneSlowLoad failed before.

--- a/source/core/routing/measured_limit.h
+++ b/source/core/routing/measured_limit.h
@@ -17,7 +17,7 @@
   // A load that takes more than this times its expected time was slowed down.
   static constexpr double kSlow = 1.25;
   // A number that was too many is tried again after so long.
-  static constexpr Duration kSlowLife = std::chrono::minutes(2);
+  static constexpr Duration kSlowLife = std::chrono::seconds(20);
 
   std::size_t value() const { return m_value; }
 
--- a/source/core/routing/slot_semaphore.cc
+++ b/source/core/routing/slot_semaphore.cc
@@ -46,8 +46,10 @@
   } else {
     const auto [entry, fresh] = pool.try_emplace(holder);
     Ask& known = entry->second;
-    if (fresh)
+    if (fresh) {
       known.order = ++m_last_order;
+      known.first = now;
+    }
     known.priority = ask.priority;
     known.repeated = now;
     known.endpoint = from.endpoint;
@@ -59,7 +61,7 @@
                         .endpoint = from.endpoint,
                         .grant = {.number = ask.number, .pool = ask.pool}});
   }
-  Fill(ask.pool, pool, grants);
+  Fill(now, ask.pool, pool, grants);
   const auto asked = pool.find(holder);
   if (asked != pool.end() && !asked->second.granted) {
     grants.push_back(
@@ -72,16 +74,17 @@
   return grants;
 }
 
-SlotSemaphore::Pool::iterator SlotSemaphore::Next(Pool& pool) {
-  const auto rank = [&pool](const Ask& ask) {
+SlotSemaphore::Pool::iterator SlotSemaphore::Next(TimePoint now, Pool& pool) {
+  const auto rank = [now, &pool](const Ask& ask) {
     // why: a second copy comes after what nobody loads yet
     const bool is_copy =
         !ask.name.empty() &&
         std::ranges::any_of(pool, [&ask](const auto& other) {
           return other.second.granted && other.second.name == ask.name;
         });
-    return std::tuple(ask.priority, is_copy, -std::int64_t{ask.waiting},
-                      ask.order);
+    // why: what few wait for must not be passed by for ever
+    const double waited = ToSeconds(now - ask.first + kAskPeriod) * ask.waiting;
+    return std::tuple(ask.priority, is_copy, -waited, ask.order);
   };
   auto best = pool.end();
   for (auto it = pool.begin(); it != pool.end(); ++it) {
@@ -93,13 +96,14 @@
   return best;
 }
 
-void SlotSemaphore::Fill(const std::string& name,
+void SlotSemaphore::Fill(TimePoint now,
+                         const std::string& name,
                          Pool& pool,
                          std::vector<Grant>& grants) {
   auto held = static_cast<std::size_t>(std::ranges::count_if(
       pool, [](const auto& entry) { return entry.second.granted; }));
   while (held < Limit(name)) {
-    const auto next = Next(pool);
+    const auto next = Next(now, pool);
     if (next == pool.end())
       return;
     Ask& ask = next->second;
@@ -117,7 +121,7 @@
     std::erase_if(pool, [&](const auto& e) {
       return now - e.second.repeated >= kAskLife;
     });
-    Fill(name, pool, grants);
+    Fill(now, name, pool, grants);
   }
   std::erase_if(m_pools,
                 [](const auto& entry) { return entry.second.empty(); });
--- a/source/core/routing/slot_semaphore.h
+++ b/source/core/routing/slot_semaphore.h
@@ -67,6 +67,7 @@
   struct Ask {
     Priority priority = Priority::kInteractive;
     std::uint64_t order = 0;
+    TimePoint first;
     TimePoint repeated;
     bool granted = false;
     std::string endpoint;
@@ -77,9 +78,12 @@
   };
   using Pool = std::map<Holder, Ask>;
 
-  void Fill(const std::string& name, Pool& pool, std::vector<Grant>& grants);
+  void Fill(TimePoint now,
+            const std::string& name,
+            Pool& pool,
+            std::vector<Grant>& grants);
   // The ask that is granted next.
-  static Pool::iterator Next(Pool& pool);
+  static Pool::iterator Next(TimePoint now, Pool& pool);
 
   SlotSemaphoreOptions m_options;
   MeasuredLimit m_store_loads;
--- a/source/unit_tests/core/routing_test.cc
+++ b/source/unit_tests/core/routing_test.cc
@@ -260,6 +260,30 @@
   EXPECT_EQ(next[0].grant.number, 4U);
 }
 
+// Every eight seconds a place comes free, and each time more requests wait for
+// something newer.
+TEST(SlotSemaphore, WhatFewWaitForIsNotPassedByForEver) {
+  SlotSemaphore semaphore({.store_loads = 1});
+  const PeerSender one{.vm = "w1", .incarnation = 1};
+  TimePoint now = kNow;
+  std::uint64_t holder = 1;
+  semaphore.HandleAsk(now, one, StoreAsk(holder, "first"));
+  semaphore.HandleAsk(now, one, StoreAsk(2, "rare", 1));
+  for (std::uint64_t number = 3; number < 20 && holder != 2; ++number) {
+    semaphore.HandleAsk(now, one,
+                        StoreAsk(number, "n" + std::to_string(number), 3));
+    for (int i = 0; i < 8; ++i) {
+      now += seconds(1);
+      for (const std::uint64_t waits : {std::uint64_t{2}, holder, number})
+        semaphore.HandleAsk(now, one, StoreAsk(waits, "", waits == 2 ? 1 : 3));
+    }
+    SlotAsk ended = StoreAsk(holder, "");
+    ended.done = true;
+    holder = semaphore.HandleAsk(now, one, ended).front().grant.number;
+  }
+  EXPECT_EQ(holder, 2U);
+}
+
 // A router that begins to keep the list counts the places that are held.
 TEST(SlotSemaphore, AHeldPlaceIsTakenOver) {
   SlotSemaphore semaphore({.store_loads = 1});
@@ -294,6 +318,17 @@
   RC_ASSERT(found <= knee + knee / 4 + 1);
 }
 
+// A load of an engine that has gone still weighs on the store for a while.
+TEST(MeasuredLimit, RecoversFromOneSlowLoad) {
+  MeasuredLimit limit;
+  limit.Record(kNow, 2, seconds(12), seconds(8));
+  EXPECT_EQ(limit.value(), 1U);
+  limit.Record(kNow + seconds(10), 1, seconds(8), seconds(8));
+  EXPECT_EQ(limit.value(), 1U);
+  limit.Record(kNow + seconds(25), 1, seconds(8), seconds(8));
+  EXPECT_EQ(limit.value(), 2U);
+}
+
 RC_GTEST_PROP(EventStream, PassesWholeEventsHoweverTheBytesAreCut, ()) {
   const auto tokens = *rc::gen::inRange(0, 30);
   std::string text;
