Ask workers that have a copy at hand before any load from the weight store

Callers saw: requests held for seconds for models that were on a disk of the fleet.

Cause: a worker that rested for 0.3 s after one failed request was no candidate, nor were its copies known to the preparation of idle models, so its models went to the weight store (7.8 s and more). For one such load 23 routers asked ten controllers, each by the queues it happened to know, and stayed for 3 times an expected time that was weighed by four (90 s).

Change: candidates are all workers that are not leaving, a rest costs its time; a copy at hand goes before the store, the store before a worker that was asked and did not load; for loads from the store routers choose one worker by hash; the time that is waited for is the load's own, not the weighed one.

--- a/source/core/serving/load_planner.cc
+++ b/source/core/serving/load_planner.cc
@@ -34,12 +34,15 @@
 constexpr Duration kAdapterSpread = std::chrono::milliseconds(150);
 // A wish that nobody repeats is over.
 constexpr Duration kWishLife = std::chrono::milliseconds(2'500);
-// A worker that took too long with a wish is asked again only for want of
-// others.
-constexpr Duration kCostOfLateness = std::chrono::seconds(3);
-// A load from the weight store holds its worker up for seconds, and shares the
-// store with all others: a copy at hand is worth a long queue.
-constexpr int kStoreAversion = 4;
+// Between the load and the controller's word of it.
+constexpr Duration kAnswerTime = std::chrono::milliseconds(400);
+// A worker at which every request fails.
+constexpr Duration kCostOfFailing = std::chrono::seconds(3);
+// The cost of a load for which nothing can give way.
+constexpr Duration kImpossible = Duration::max() / 4;
+// The same for loads from the weight store: they wait for a place there, and
+// routers that ask the same worker have one load instead of many.
+constexpr Duration kStoreSpread = std::chrono::seconds(10);
 constexpr Duration kAdapterLoad = std::chrono::milliseconds(20);
 
 std::uint32_t Thousandths(double value) {
@@ -55,6 +58,28 @@
       }));
 }
 
+// Whom to ask for weights, the best first.
+enum class LoadTier {
+  kAtHand,     // it has a copy in its memory or on its disk
+  kFromStore,  // it would take them from the weight store
+  kLate,       // it was asked and did not load them in time
+  kNoRoom,     // nothing that it holds could make room
+  kLast,
+};
+
+// What speaks against a worker that fails requests: its weights could not be
+// used for a while.
+Duration CostOfState(TimePoint now, const Worker& worker) {
+  const Duration rest = std::max(Duration::zero(), worker.avoid_until - now);
+  return rest + std::chrono::duration_cast<Duration>(kCostOfFailing *
+                                                     worker.failure_share);
+}
+
+bool NeedsStore(const WeightsNeed& need, const Worker& worker) {
+  return need.adapter.empty() &&
+         worker.contents.SourceOf(need.model) == WeightsSource::kStore;
+}
+
 double UsedMb(const EngineSpec& engine, const EngineContents& contents) {
   double used = 0;
   for (const LoadedModel& loaded : contents.models) {
@@ -81,7 +106,6 @@
          UsedMb(engine, worker.contents) + model.memory_mb <= engine.memory_mb;
 }
 
-// A load's time, weighed for the choice of a worker.
 Duration LoadTime(const EngineModel& model, const EngineContents& contents) {
   switch (contents.SourceOf(model.name)) {
     case WeightsSource::kMemory:
@@ -91,7 +115,7 @@
     case WeightsSource::kStore:
       break;
   }
-  return model.load_from_store * kStoreAversion;
+  return model.load_from_store;
 }
 
 }  // namespace
@@ -160,7 +184,7 @@
     cost += kCostOfUnload + std::chrono::duration_cast<Duration>(
                                 kCostOfLostDemand * victim.loss);
   }
-  return free_mb >= needed_mb ? cost : Duration::max() / 4;
+  return free_mb >= needed_mb ? cost : kImpossible;
 }
 
 Duration LoadPlanner::Cost(TimePoint now,
@@ -170,9 +194,14 @@
                            const WeightsNeed& need) const {
   const auto spec = engine.models.find(need.model);
   const bool for_adapter = !need.adapter.empty();
-  Duration cost =
-      kCostOfQueuedLoad * static_cast<int>(std::max(worker.queued_loads,
-                                                    WishesAt(worker.entry.id)));
+  const bool from_store = NeedsStore(need, worker);
+  Duration cost = CostOfState(now, worker);
+  // why: while it waits for a place at the store, the worker's other loads go
+  // on
+  if (!from_store)
+    cost += kCostOfQueuedLoad *
+            static_cast<int>(
+                std::max(worker.queued_loads, WishesAt(worker.entry.id)));
   if (for_adapter) {
     // why: an engine that loads or unloads a model takes no other order
     cost += kAdapterLoad + std::chrono::milliseconds(2) * worker.running;
@@ -183,8 +212,23 @@
   const std::uint64_t spread = StableHash(WeightsName(need.model, need.adapter),
                                           StableHash(worker.entry.id)) %
                                1'000;
-  return cost + (for_adapter ? kAdapterSpread : kSpread) *
-                    static_cast<int>(spread) / 1'000;
+  const Duration range = for_adapter  ? kAdapterSpread
+                         : from_store ? kStoreSpread
+                                      : kSpread;
+  return cost + range * static_cast<int>(spread) / 1'000;
+}
+
+Duration LoadPlanner::ExpectedTime(const EngineSpec& engine,
+                                   const Worker& worker,
+                                   const WeightsNeed& need) const {
+  const Duration load =
+      need.adapter.empty()
+          ? LoadTime(engine.models.at(need.model), worker.contents)
+          : kAdapterLoad;
+  return load + kCostOfUnload + kAnswerTime +
+         kCostOfQueuedLoad *
+             static_cast<int>(
+                 std::max(worker.queued_loads, WishesAt(worker.entry.id)));
 }
 
 double LoadPlanner::ValueOfCopy(TimePoint now,
@@ -263,13 +307,13 @@
   const std::string keep = stays ? wish->second.worker : "";
   const std::string late = open ? wish->second.late_worker : "";
   Worker* best = nullptr;
-  Duration best_cost = Duration::max() / 4;
+  std::pair best_rank{LoadTier::kLast, Duration::max() / 4};
   for (Worker* worker : workers) {
     const auto silent = m_silent.find(worker->entry.id);
     if (silent != m_silent.end() && now < silent->second)
       continue;
     const bool possible =
-        worker->Usable(now) &&
+        worker->entry.state == WorkerState::kReady &&
         (need.adapter.empty() ? worker->contents.Find(need.model) == nullptr
                               : worker->contents.Find(need.model) != nullptr);
     const bool takes_room =
@@ -278,20 +322,22 @@
           IsAtHand(worker->contents, need.model));
     if (!possible || takes_room)
       continue;
-    Duration cost = worker->entry.id == keep
-                        ? Duration::zero()
-                        : Cost(now, engine, workers, *worker, need);
-    if (worker->entry.id == late)
-      cost += kCostOfLateness;
-    if (cost < best_cost) {
+    const LoadTier tier = NeedsStore(need, *worker)  ? LoadTier::kFromStore
+                          : worker->entry.id == late ? LoadTier::kLate
+                                                     : LoadTier::kAtHand;
+    const Duration cost = worker->entry.id == keep
+                              ? Duration::zero()
+                              : Cost(now, engine, workers, *worker, need);
+    const std::pair rank{
+        cost < kImpossible ? tier : std::max(tier, LoadTier::kNoRoom), cost};
+    if (rank < best_rank) {
       best = worker;
-      best_cost = cost;
+      best_rank = rank;
     }
   }
   if (best == nullptr)
     return std::nullopt;
-  const Duration expected =
-      Cost(now, engine, workers, *best, need) + std::chrono::milliseconds(500);
+  const Duration expected = ExpectedTime(engine, *best, need);
   const TimePoint first_asked =
       best->entry.id == keep ? wish->second.first_asked : now;
   m_wishes[name] = {.worker = best->entry.id,
--- a/source/core/serving/load_planner.h
+++ b/source/core/serving/load_planner.h
@@ -1,6 +1,8 @@
 // Which worker should load a model or an adapter that requests wait for. The
 // answer rests on what every router sees alike (the list of workers), so that
-// routers without a word between them mostly ask the same worker.
+// routers without a word between them mostly ask the same worker. A worker that
+// has a copy at hand goes before one that needs the weight store, also while it
+// rests after failures.
 #pragma once
 
 #include <cstdint>
@@ -93,6 +95,10 @@
                 std::span<Worker* const> workers,
                 const Worker& worker,
                 const WeightsNeed& need) const;
+  // Until the weights should be there.
+  Duration ExpectedTime(const EngineSpec& engine,
+                        const Worker& worker,
+                        const WeightsNeed& need) const;
   Duration EvictionCost(TimePoint now,
                         const EngineSpec& engine,
                         std::span<Worker* const> workers,
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -91,6 +91,14 @@
   return workers;
 }
 
+std::vector<Worker*> RequestTable::ReadyWorkers(const std::string& service) {
+  std::vector<Worker*> workers = m_state.workers.OfService(service);
+  std::erase_if(workers, [](const Worker* worker) {
+    return worker->entry.state != WorkerState::kReady;
+  });
+  return workers;
+}
+
 std::uint32_t RequestTable::ConnectionLimit(const std::string& service) const {
   const ServingService* spec = m_state.config->FindService(service);
   if (spec == nullptr)
--- a/source/core/serving/request_loads.cc
+++ b/source/core/serving/request_loads.cc
@@ -33,11 +33,11 @@
   const WorkerChoice choice = ChooseWorker(m_policy, ChoiceInput(exchange),
                                            std::span<Worker* const>(holders));
   if (choice.worker == nullptr) {
-    AskForWeights(now, exchange, engine, workers);
+    AskForWeights(now, exchange, engine);
     return Hold(now, exchange, "model_not_loaded");
   }
   if (choice.cost > kSpreadAbove && request.adapter.empty())
-    AskForWeights(now, exchange, engine, workers);
+    AskForWeights(now, exchange, engine);
   else
     m_loads.Settle(request.model, request.adapter);
   Send(now, exchange, choice);
@@ -45,9 +45,9 @@
 
 void RequestTable::AskForWeights(TimePoint now,
                                  const Exchange& exchange,
-                                 const EngineSpec& engine,
-                                 const std::vector<Worker*>& workers) {
+                                 const EngineSpec& engine) {
   const ServingRequest& request = *exchange.request;
+  const std::vector<Worker*> workers = ReadyWorkers(exchange.service);
   const bool model_loaded =
       std::ranges::any_of(workers, [&request](const Worker* worker) {
         return worker->contents.Find(request.model) != nullptr;
@@ -99,7 +99,7 @@
   for (const auto& [name, service] : m_state.config->config().services) {
     if (!service.engine)
       continue;
-    const std::vector<Worker*> workers = UsableWorkers(now, name);
+    const std::vector<Worker*> workers = ReadyWorkers(name);
     const std::span<Worker* const> all(workers);
     std::vector<std::string> missing =
         LoadPlanner::NowhereAtHand(*service.engine, all);
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -97,8 +97,7 @@
                         std::vector<Worker*> workers);
   void AskForWeights(TimePoint now,
                      const Exchange& exchange,
-                     const EngineSpec& engine,
-                     const std::vector<Worker*>& workers);
+                     const EngineSpec& engine);
   void AskLoad(TimePoint now,
                const EngineSpec& engine,
                const std::vector<Worker*>& workers,
@@ -108,6 +107,8 @@
   // worker resets those beyond its limit.
   std::uint32_t ConnectionLimit(const std::string& service) const;
   std::vector<Worker*> UsableWorkers(TimePoint now, const std::string& service);
+  // Those that are not leaving, also while they rest: they can load.
+  std::vector<Worker*> ReadyWorkers(const std::string& service);
   void LogAsk(const WeightsNeed& need,
               const PlannedLoad& planned,
               const std::string& reason);
--- a/source/unit_tests/core/serving/fleet_placement_test.cc
+++ b/source/unit_tests/core/serving/fleet_placement_test.cc
@@ -52,5 +52,36 @@
   EXPECT_LE(fleet.store().most(), kFullSpeed);
 }
 
+// Random fleets whose engines crash at random moments: every model that is
+// asked for through the day is served.
+std::string StarvedIn(std::uint64_t seed) {
+  Random random(seed);
+  const std::size_t engines = 4 + random.Below(10);
+  const std::size_t models = engines * 2 + random.Below(engines);
+  FleetSimulation fleet({.engines = engines,
+                         .routers = 1 + random.Below(5),
+                         .models = models,
+                         .copies = 1 + random.Below(2),
+                         .store_full_speed = 2 + random.Below(3),
+                         .store_loads = 0,
+                         .seed = seed});
+  fleet.Pass(seconds(5));
+  for (int phase = 0; phase < 6; ++phase) {
+    Serve(fleet, models, static_cast<int>(models) / 4 + 1, seconds(8));
+    if (phase < 2) {
+      for (std::size_t engine = 0; engine < engines; ++engine) {
+        if (random.Below(4) == 0)
+          fleet.Crash(engine, milliseconds(500 + random.Below(5'000)));
+      }
+    }
+  }
+  return Text(fleet.Starved());
+}
+
+RC_GTEST_PROP(FleetPlacement, WhatIsAskedForThroughTheDayIsServed, ()) {
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  RC_ASSERT(StarvedIn(seed) == "");
+}
+
 }  // namespace
 }  // namespace boragepick
--- a/source/unit_tests/core/serving/serving_parts_test.cc
+++ b/source/unit_tests/core/serving/serving_parts_test.cc
@@ -139,6 +139,50 @@
       (std::vector<std::string>{"m2", "m3"}));
 }
 
+// One failed request must not send its models to the weight store.
+TEST_F(LoadPlannerTest, ACopyAtARestingWorkerGoesBeforeTheStore) {
+  for (Worker* worker : m_workers)
+    worker->contents.on_disk.clear();
+  m_workers[2]->contents.on_disk = {"m1"};
+  m_table.RecordFailure(kNow, *m_workers[2]);
+  ASSERT_FALSE(m_workers[2]->Usable(kNow));
+  LoadPlanner planner;
+  EXPECT_EQ(Plan(planner, kNow, "m1")->worker, "w3");
+}
+
+// Routers see the queues of controllers at different times.
+TEST_F(LoadPlannerTest, RoutersAskOneWorkerForALoadFromTheStore) {
+  for (Worker* worker : m_workers)
+    worker->contents.on_disk.clear();
+  for (const char* model : {"m1", "m2", "m3"}) {
+    LoadPlanner one;
+    LoadPlanner other;
+    for (Worker* worker : m_workers)
+      worker->queued_loads = 0;
+    const std::string first = Plan(one, kNow, model)->worker;
+    m_table.Find(first)->queued_loads = 2;
+    EXPECT_EQ(Plan(other, kNow, model)->worker, first);
+  }
+}
+
+// The only worker with a copy can't load it: the store is slower, but serves.
+TEST_F(LoadPlannerTest, AWorkerThatIsLateGivesWayToTheStore) {
+  for (Worker* worker : m_workers)
+    worker->contents.on_disk.clear();
+  m_workers[2]->contents.on_disk = {"m1"};
+  LoadPlanner planner;
+  TimePoint now = kNow;
+  ASSERT_EQ(Plan(planner, now, "m1")->worker, "w3");
+  std::string asked;
+  for (int i = 0; i < 15; ++i) {
+    now += milliseconds(700);
+    m_workers[2]->news_at = now;
+    if (const auto planned = Plan(planner, now, "m1"))
+      asked = planned->worker;
+  }
+  EXPECT_NE(asked, "w3");
+}
+
 TEST_F(LoadPlannerTest, AnAskIsRepeatedAndThenGoesElsewhere) {
   LoadPlanner planner;
   const std::string first = Plan(planner, kNow, "m1")->worker;
