Keep an adapter until the request that it was loaded for can have come

Cause: what has just come has no value yet, so with all places taken it is the first to give way to the next adapter. Models have a least residency against this; adapters had none. Now 300 ms: news to the routers and a request take some 100.

EngineController.AnAdapterThatHasJustComeStaysForItsRequest failed before (gone after 30 to 50 ms). A test that models are not passed by for ever for adapters is new and passed before, too.

--- a/source/core/engine/engine_controller.cc
+++ b/source/core/engine/engine_controller.cc
@@ -22,6 +22,9 @@
 // A model that has just come is kept for so long, so that two that don't fit
 // together take turns.
 constexpr Duration kLeastResidency = std::chrono::milliseconds(1'200);
+// The same for an adapter: until the request that it came for has reached the
+// engine, by way of the controller's news and a router.
+constexpr Duration kLeastAdapterResidency = std::chrono::milliseconds(300);
 // A loaded model gives way to one that waits only if it is asked for less
 // often: a waiting request counts as so many thousandths of one a second.
 constexpr std::uint64_t kValueOfWaiting = 300;
@@ -213,10 +216,24 @@
   std::erase_if(m_loaded_at, [&report](const auto& entry) {
     return report.contents.Find(entry.first) == nullptr;
   });
+  RecordAdapters(now);
   if (changed)
     Tell(now);
 }
 
+void EngineController::RecordAdapters(TimePoint now) {
+  std::map<std::string, TimePoint> loaded_at;
+  for (const LoadedModel& model : m_report->contents.models) {
+    for (const std::string& adapter : model.adapters) {
+      const std::string name = WeightsName(model.name, adapter);
+      const auto known = m_adapter_loaded_at.find(name);
+      loaded_at[name] =
+          known == m_adapter_loaded_at.end() ? now : known->second;
+    }
+  }
+  m_adapter_loaded_at = std::move(loaded_at);
+}
+
 void EngineController::DropSettledNeeds(TimePoint now) {
   for (Need& need : m_needs) {
     std::erase_if(need.askers, [now](const auto& asker) {
@@ -521,6 +538,11 @@
       if (wanted)
         continue;
       const std::string name = WeightsName(model.name, adapter);
+      const auto loaded = m_adapter_loaded_at.find(name);
+      const bool fresh = loaded != m_adapter_loaded_at.end() &&
+                         now - loaded->second < kLeastAdapterResidency;
+      if (fresh)
+        continue;
       const auto asked = m_adapter_asked.find(name);
       const std::pair rank{ValueOf(now, name), asked == m_adapter_asked.end()
                                                    ? TimePoint{}
--- a/source/core/engine/engine_controller.h
+++ b/source/core/engine/engine_controller.h
@@ -194,6 +194,7 @@
 
   void TakeAsk(TimePoint now, const std::string& from, const LoadAsk& ask);
   void TakeReport(TimePoint now, const EngineReport& report);
+  void RecordAdapters(TimePoint now);
   void DropSettledNeeds(TimePoint now);
   void CheckOrder(TimePoint now);
   void RecordLoad(TimePoint now, const OpenOrder& open);
@@ -254,6 +255,7 @@
   // When each model was first seen loaded, and each adapter last asked for.
   std::map<std::string, TimePoint> m_loaded_at;
   std::map<std::string, TimePoint> m_adapter_asked;
+  std::map<std::string, TimePoint> m_adapter_loaded_at;
   // By model or "model/adapter", and by router.
   std::map<std::string, std::map<std::string, Value>> m_values;
   // Routers that asked lately.
--- a/source/unit_tests/core/engine/engine_controller_test.cc
+++ b/source/unit_tests/core/engine/engine_controller_test.cc
@@ -280,6 +280,46 @@
   EXPECT_FALSE(bench.engine().Holds("m1", "a2"));
 }
 
+// Three places for adapters and a request each for six of them at once: each
+// adapter stays until the request that waits for it can have come.
+TEST(EngineController, AnAdapterThatHasJustComeStaysForItsRequest) {
+  Bench bench(3);
+  bench.engine().BeReliable();
+  ASSERT_TRUE(bench.Wait("m1", seconds(5)));
+  std::map<std::string, int> seen;
+  for (int step = 0; step < 300; ++step) {
+    if (step % 50 == 0) {
+      for (const char* adapter : {"a1", "a2", "a3", "a4", "a5", "a6"}) {
+        if (!seen.contains(adapter))
+          bench.Ask("m1", adapter);
+      }
+    }
+    bench.Pass(milliseconds(10));
+    for (const char* adapter : {"a1", "a2", "a3", "a4", "a5", "a6"}) {
+      if (bench.engine().Holds("m1", adapter))
+        ++seen[adapter];
+    }
+  }
+  EXPECT_EQ(seen.size(), 6U);
+  for (const auto& [adapter, steps] : seen)
+    EXPECT_GE(steps, 20) << adapter << " was gone within 200 ms";
+}
+
+// New adapters are asked for without a pause.
+TEST(EngineController, AModelIsNotPassedByForEverForAdapters) {
+  Bench bench(3);
+  bench.engine().BeReliable();
+  ASSERT_TRUE(bench.Wait("m1", seconds(5)));
+  for (int step = 0; step < 100 && !bench.engine().Holds("m2"); ++step) {
+    if (step % 10 == 0)
+      bench.Ask("m2");
+    for (int i = 0; i < 3; ++i)
+      bench.Ask("m1", "a" + std::to_string(step * 3 + i));
+    bench.Pass(milliseconds(50));
+  }
+  EXPECT_TRUE(bench.engine().Holds("m2"));
+}
+
 TEST(EngineController, LogsWhereWeightsCameFromAndHowLongItTook) {
   Bench bench(3);
   bench.engine().BeReliable();
