Unload what runs no requests first

Cause: an unload waits for the requests that run with the weights, and the engine takes no other order meanwhile. Controllers chose what gives way by demand alone and knew nothing of what runs: head-of-line blocking of one order slot.

Change: asks carry, beside the demand, how many of the asker's requests run with what the engine holds. A running request counts like a waiting one; an adapter in use gives way only to one that has waited for a second. Only routers that ask are heard, so this is a hint.

Two EngineController tests failed before; that an adapter is not passed by for ever is tested, too.

--- a/source/core/engine/engine_controller.cc
+++ b/source/core/engine/engine_controller.cc
@@ -19,6 +19,12 @@
 // Routers that have not asked for so long are told nothing more.
 constexpr Duration kListenerLife = std::chrono::seconds(60);
 constexpr Duration kValueLife = std::chrono::seconds(10);
+// What a router said of its running requests is too old after so long: routers
+// that wait say it again every 600 ms.
+constexpr Duration kRunningLife = std::chrono::milliseconds(1'500);
+// An adapter that was asked for takes the place of one in use only after it has
+// waited for so long: the unload would hold up all other orders.
+constexpr Duration kAdapterPatience = std::chrono::milliseconds(1'000);
 // A model that has just come is kept for so long, so that two that don't fit
 // together take turns.
 constexpr Duration kLeastResidency = std::chrono::milliseconds(1'200);
@@ -142,6 +148,7 @@
   m_place.SetKeepers(ask.slot_keepers);
   for (const ModelValue& value : ask.values)
     m_values[value.model][from] = {.milli_requests = value.milli_requests,
+                                   .running = value.running,
                                    .at = now};
   if (!ask.adapter.empty())
     m_adapter_asked[WeightsName(ask.model, ask.adapter)] = now;
@@ -504,7 +511,9 @@
     const auto loaded = m_loaded_at.find(model.name);
     const bool fresh =
         loaded != m_loaded_at.end() && now - loaded->second < kLeastResidency;
-    const std::uint64_t value = ValueOf(now, model.name);
+    const std::uint64_t running = RunningWith(now, model.name);
+    const std::uint64_t value =
+        ValueOf(now, model.name) + kValueOfWaiting * running;
     if (fresh || value >= limit)
       continue;
     // why: of models alike in value, the smallest that makes room alone goes
@@ -512,8 +521,8 @@
     const auto spec = m_spec->models.find(model.name);
     const double memory_mb =
         spec == m_spec->models.end() ? 0 : spec->second.memory_mb;
-    const bool in_use =
-        loaded != m_loaded_at.end() && now - loaded->second < kProbablyInUse;
+    const bool in_use = running > 0 || (loaded != m_loaded_at.end() &&
+                                        now - loaded->second < kProbablyInUse);
     const std::tuple<std::uint64_t, bool, double> rank{
         value / kValueStep, in_use,
         memory_mb >= missing_mb ? memory_mb : m_spec->memory_mb - memory_mb};
@@ -530,6 +539,7 @@
 std::optional<EngineOrder> EngineController::EvictAdapter(
     TimePoint now,
     const Need& need) const {
+  const bool patient = now - need.first_asked < kAdapterPatience;
   std::optional<EngineOrder> victim;
   std::pair<std::uint64_t, TimePoint> least;
   for (const LoadedModel& model : m_report->contents.models) {
@@ -541,12 +551,13 @@
       const auto loaded = m_adapter_loaded_at.find(name);
       const bool fresh = loaded != m_adapter_loaded_at.end() &&
                          now - loaded->second < kLeastAdapterResidency;
-      if (fresh)
+      const std::uint64_t running = RunningWith(now, name);
+      if (fresh || (running > 0 && patient))
         continue;
       const auto asked = m_adapter_asked.find(name);
-      const std::pair rank{ValueOf(now, name), asked == m_adapter_asked.end()
-                                                   ? TimePoint{}
-                                                   : asked->second};
+      const std::pair rank{
+          ValueOf(now, name) + kValueOfWaiting * running,
+          asked == m_adapter_asked.end() ? TimePoint{} : asked->second};
       if (victim && rank >= least)
         continue;
       least = rank;
@@ -606,6 +617,19 @@
   return sum;
 }
 
+std::uint64_t EngineController::RunningWith(TimePoint now,
+                                            const std::string& weights) const {
+  const auto found = m_values.find(weights);
+  if (found == m_values.end())
+    return 0;
+  std::uint64_t sum = 0;
+  for (const auto& [router, value] : found->second) {
+    if (now - value.at < kRunningLife)
+      sum += value.running;
+  }
+  return sum;
+}
+
 EngineNews EngineController::News() const {
   EngineNews news{.contents = m_report->contents,
                   .busy = m_report->busy,
--- a/source/core/engine/engine_controller.h
+++ b/source/core/engine/engine_controller.h
@@ -181,6 +181,7 @@
   };
   struct Value {
     std::uint32_t milli_requests = 0;
+    std::uint32_t running = 0;
     TimePoint at;
   };
 
@@ -228,6 +229,8 @@
       const std::string& wanted) const;
   void KeepIfLost(const OpenOrder& open);
   std::uint64_t ValueOf(TimePoint now, const std::string& model) const;
+  // Requests that run with the weights, of the routers that asked lately.
+  std::uint64_t RunningWith(TimePoint now, const std::string& weights) const;
   void Tell(TimePoint now);
   void TellOne(const std::string& endpoint);
   EngineNews News() const;
--- a/source/core/engine/engine_messages.h
+++ b/source/core/engine/engine_messages.h
@@ -18,6 +18,8 @@
   std::string model;
   // Requests a second that would have to wait for a load, in thousandths.
   std::uint32_t milli_requests = 0;
+  // Requests of the asker that run there with them.
+  std::uint32_t running = 0;
 };
 
 // Router to controller: have a model, or an adapter of a loaded one, loaded.
--- a/source/core/serving/load_planner.cc
+++ b/source/core/serving/load_planner.cc
@@ -80,6 +80,11 @@
          worker.contents.SourceOf(need.model) == WeightsSource::kStore;
 }
 
+std::uint32_t RunningWith(const Worker& worker, const std::string& weights) {
+  const auto found = worker.running_by_weights.find(weights);
+  return found == worker.running_by_weights.end() ? 0 : found->second;
+}
+
 double UsedMb(const EngineSpec& engine, const EngineContents& contents) {
   double used = 0;
   for (const LoadedModel& loaded : contents.models) {
@@ -245,13 +250,15 @@
                                               const Worker& worker) const {
   std::vector<ModelValue> values;
   for (const LoadedModel& loaded : worker.contents.models) {
-    values.push_back({.model = loaded.name,
-                      .milli_requests =
-                          Thousandths(ValueOfCopy(now, workers, loaded.name))});
+    values.push_back(
+        {.model = loaded.name,
+         .milli_requests = Thousandths(ValueOfCopy(now, workers, loaded.name)),
+         .running = RunningWith(worker, loaded.name)});
     for (const std::string& adapter : loaded.adapters) {
       const std::string name = WeightsName(loaded.name, adapter);
-      values.push_back(
-          {.model = name, .milli_requests = Thousandths(Demand(now, name))});
+      values.push_back({.model = name,
+                        .milli_requests = Thousandths(Demand(now, name)),
+                        .running = RunningWith(worker, name)});
     }
   }
   return values;
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -172,7 +172,7 @@
   attempt.unread_tokens =
       std::max<std::int64_t>(0, request.prompt_tokens.value_or(0) - known);
   worker.unread_tokens += attempt.unread_tokens;
-  ++worker.running;
+  WorkerTable::CountRun(worker, exchange.weights);
   worker.prompts.Remember(exchange.weights, request.prompt);
   ++exchange.sends;
   exchange.stage = ExchangeStage::kRunning;
@@ -222,8 +222,7 @@
   Worker* worker = m_state.workers.Find(exchange.attempt->worker);
   if (worker != nullptr) {
     worker->unread_tokens -= exchange.attempt->unread_tokens;
-    if (worker->running > 0)
-      --worker->running;
+    WorkerTable::EndRun(*worker, exchange.weights);
   }
   m_attempts.erase(exchange.attempt->number);
   exchange.attempt.reset();
--- a/source/core/serving/worker_table.cc
+++ b/source/core/serving/worker_table.cc
@@ -26,6 +26,16 @@
   return key ^ (key >> 32);
 }
 
+// "model/adapter" and its "model"; nothing for a plain service.
+std::vector<std::string> NamesWithin(const std::string& weights) {
+  const std::size_t slash = weights.find('/');
+  if (weights.empty())
+    return {};
+  if (slash == std::string::npos)
+    return {weights};
+  return {weights.substr(0, slash), weights};
+}
+
 // An entry of the list may be as old as this when it comes: until then what the
 // controller said goes before it.
 constexpr Duration kListLag = std::chrono::milliseconds(2'500);
@@ -158,6 +168,23 @@
   return workers;
 }
 
+void WorkerTable::CountRun(Worker& worker, const std::string& weights) {
+  ++worker.running;
+  for (const std::string& name : NamesWithin(weights))
+    ++worker.running_by_weights[name];
+}
+
+void WorkerTable::EndRun(Worker& worker, const std::string& weights) {
+  // why: the entry may be of a later run of the worker
+  if (worker.running > 0)
+    --worker.running;
+  for (const std::string& name : NamesWithin(weights)) {
+    const auto found = worker.running_by_weights.find(name);
+    if (found != worker.running_by_weights.end() && --found->second == 0)
+      worker.running_by_weights.erase(found);
+  }
+}
+
 void WorkerTable::RecordSuccess(Worker& worker,
                                 Duration took,
                                 Duration expected) {
--- a/source/core/serving/worker_table.h
+++ b/source/core/serving/worker_table.h
@@ -50,6 +50,8 @@
 
   // What this router has there now.
   std::uint32_t running = 0;
+  // The same by "model" and by "model/adapter".
+  std::map<std::string, std::uint32_t> running_by_weights;
   // Prompt tokens of requests that have not begun to answer.
   std::int64_t unread_tokens = 0;
 
@@ -88,6 +90,10 @@
   std::size_t size() const { return m_workers.size(); }
   const std::map<std::string, Worker>& workers() const { return m_workers; }
 
+  // A request for the weights was sent there, or is there no more.
+  static void CountRun(Worker& worker, const std::string& weights);
+  static void EndRun(Worker& worker, const std::string& weights);
+
   // What became of a request that was sent there.
   void RecordSuccess(Worker& worker, Duration took, Duration expected);
   void RecordFailure(TimePoint now, Worker& worker);
--- a/source/unit_tests/core/engine/engine_controller_test.cc
+++ b/source/unit_tests/core/engine/engine_controller_test.cc
@@ -305,6 +305,57 @@
     EXPECT_GE(steps, 20) << adapter << " was gone within 200 ms";
 }
 
+// An unload waits for the requests that run, and holds up every other order.
+TEST(EngineController, WhatRunsRequestsIsNotUnloadedBeforeWhatIsIdle) {
+  Bench bench(3);
+  bench.engine().BeReliable();
+  ASSERT_TRUE(bench.Wait("m1", seconds(5)));
+  ASSERT_TRUE(bench.Wait("m2", seconds(5)));
+  bench.Pass(seconds(4));
+  bench.Ask("m3", "",
+            {{.model = "m1", .milli_requests = 50, .running = 1},
+             {.model = "m2", .milli_requests = 250}});
+  bench.Pass(seconds(3));
+  EXPECT_TRUE(bench.engine().Holds("m1"));
+  EXPECT_FALSE(bench.engine().Holds("m2"));
+}
+
+TEST(EngineController, AnAdapterThatRunsRequestsIsNotUnloaded) {
+  Bench bench(3);
+  bench.engine().BeReliable();
+  ASSERT_TRUE(bench.Wait("m1", seconds(5)));
+  for (const char* adapter : {"a1", "a2", "a3"}) {
+    bench.Ask("m1", adapter);
+    bench.Pass(milliseconds(500));
+  }
+  bench.Ask("m1", "a4",
+            {{.model = "m1/a1", .running = 1},
+             {.model = "m1/a2", .milli_requests = 900},
+             {.model = "m1/a3", .running = 2}});
+  bench.Pass(milliseconds(500));
+  EXPECT_TRUE(bench.engine().Holds("m1", "a1"));
+  EXPECT_FALSE(bench.engine().Holds("m1", "a2"));
+}
+
+// Places for adapters that are never free are given up all the same.
+TEST(EngineController, AnAdapterIsNotPassedByForEver) {
+  Bench bench(3);
+  bench.engine().BeReliable();
+  ASSERT_TRUE(bench.Wait("m1", seconds(5)));
+  for (const char* adapter : {"a1", "a2", "a3"}) {
+    bench.Ask("m1", adapter);
+    bench.Pass(milliseconds(500));
+  }
+  for (int i = 0; i < 6; ++i) {
+    bench.Ask("m1", "a4",
+              {{.model = "m1/a1", .running = 1},
+               {.model = "m1/a2", .running = 1},
+               {.model = "m1/a3", .running = 1}});
+    bench.Pass(milliseconds(500));
+  }
+  EXPECT_TRUE(bench.engine().Holds("m1", "a4"));
+}
+
 // New adapters are asked for without a pause.
 TEST(EngineController, AModelIsNotPassedByForEverForAdapters) {
   Bench bench(3);
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -77,7 +77,7 @@
               .adapter = "a",
               .waiting = 2,
               .milli_requests = 1'500,
-              .values = {{.model = "n", .milli_requests = 3}},
+              .values = {{.model = "n", .milli_requests = 3, .running = 2}},
               .slot_keepers = {"10.0.0.1:7"}},
       EngineNews{.contents = {.born = 4,
                               .models = {{.name = "m",
--- a/source/wire/peer_codec.cc
+++ b/source/wire/peer_codec.cc
@@ -372,6 +372,7 @@
     wire::ModelValue& added = *out.add_values();
     added.set_model(value.model);
     added.set_milli_requests(value.milli_requests);
+    added.set_running(value.running);
   }
   for (const std::string& endpoint : message.slot_keepers)
     out.add_slot_keepers(endpoint);
@@ -383,8 +384,9 @@
               .waiting = in.waiting(),
               .milli_requests = in.milli_requests()};
   for (const wire::ModelValue& value : in.values())
-    ask.values.push_back(
-        {.model = value.model(), .milli_requests = value.milli_requests()});
+    ask.values.push_back({.model = value.model(),
+                          .milli_requests = value.milli_requests(),
+                          .running = value.running()});
   ask.slot_keepers.assign(in.slot_keepers().begin(), in.slot_keepers().end());
   return ask;
 }
