Ask another worker when one is late with a load from the weight store

Found by reading: since copies at hand go first, the worker that the hash names for a load from the store was asked again and again, also when it never loaded; a model without any copy could wait for it for ever. A late worker now comes after all others whatever its source. LoadPlannerTest.AStoreLoadThatIsLateGoesElsewhere failed before. The time of a worker's queue is worked out in one place.

--- a/source/core/serving/load_planner.cc
+++ b/source/core/serving/load_planner.cc
@@ -32,6 +32,9 @@
 // workers that are asked first.
 constexpr Duration kSpread = std::chrono::milliseconds(1'500);
 constexpr Duration kAdapterSpread = std::chrono::milliseconds(150);
+// For loads from the weight store it outweighs what routers see differently:
+// routers that ask the same worker have one load instead of many.
+constexpr Duration kStoreSpread = std::chrono::seconds(10);
 // A wish that nobody repeats is over.
 constexpr Duration kWishLife = std::chrono::milliseconds(2'500);
 // Between the load and the controller's word of it.
@@ -40,9 +43,6 @@
 constexpr Duration kCostOfFailing = std::chrono::seconds(3);
 // The cost of a load for which nothing can give way.
 constexpr Duration kImpossible = Duration::max() / 4;
-// The same for loads from the weight store: they wait for a place there, and
-// routers that ask the same worker have one load instead of many.
-constexpr Duration kStoreSpread = std::chrono::seconds(10);
 constexpr Duration kAdapterLoad = std::chrono::milliseconds(20);
 
 std::uint32_t Thousandths(double value) {
@@ -204,9 +204,7 @@
   // why: while it waits for a place at the store, the worker's other loads go
   // on
   if (!from_store)
-    cost += kCostOfQueuedLoad *
-            static_cast<int>(
-                std::max(worker.queued_loads, WishesAt(worker.entry.id)));
+    cost += QueueTime(worker);
   if (for_adapter) {
     // why: an engine that loads or unloads a model takes no other order
     cost += kAdapterLoad + std::chrono::milliseconds(2) * worker.running;
@@ -230,10 +228,13 @@
       need.adapter.empty()
           ? LoadTime(engine.models.at(need.model), worker.contents)
           : kAdapterLoad;
-  return load + kCostOfUnload + kAnswerTime +
-         kCostOfQueuedLoad *
-             static_cast<int>(
-                 std::max(worker.queued_loads, WishesAt(worker.entry.id)));
+  return load + kCostOfUnload + kAnswerTime + QueueTime(worker);
+}
+
+Duration LoadPlanner::QueueTime(const Worker& worker) const {
+  return kCostOfQueuedLoad *
+         static_cast<int>(
+             std::max(worker.queued_loads, WishesAt(worker.entry.id)));
 }
 
 double LoadPlanner::ValueOfCopy(TimePoint now,
@@ -314,7 +315,7 @@
   const std::string keep = stays ? wish->second.worker : "";
   const std::string late = open ? wish->second.late_worker : "";
   Worker* best = nullptr;
-  std::pair best_rank{LoadTier::kLast, Duration::max() / 4};
+  std::pair best_rank{LoadTier::kLast, Duration::max()};
   for (Worker* worker : workers) {
     const auto silent = m_silent.find(worker->entry.id);
     if (silent != m_silent.end() && now < silent->second)
@@ -329,9 +330,9 @@
           IsAtHand(worker->contents, need.model));
     if (!possible || takes_room)
       continue;
-    const LoadTier tier = NeedsStore(need, *worker)  ? LoadTier::kFromStore
-                          : worker->entry.id == late ? LoadTier::kLate
-                                                     : LoadTier::kAtHand;
+    const LoadTier tier = worker->entry.id == late    ? LoadTier::kLate
+                          : NeedsStore(need, *worker) ? LoadTier::kFromStore
+                                                      : LoadTier::kAtHand;
     const Duration cost = worker->entry.id == keep
                               ? Duration::zero()
                               : Cost(now, engine, workers, *worker, need);
--- a/source/core/serving/load_planner.h
+++ b/source/core/serving/load_planner.h
@@ -99,6 +99,8 @@
   Duration ExpectedTime(const EngineSpec& engine,
                         const Worker& worker,
                         const WeightsNeed& need) const;
+  // The loads that stand before a new one.
+  Duration QueueTime(const Worker& worker) const;
   Duration EvictionCost(TimePoint now,
                         const EngineSpec& engine,
                         std::span<Worker* const> workers,
--- a/source/unit_tests/core/serving/serving_parts_test.cc
+++ b/source/unit_tests/core/serving/serving_parts_test.cc
@@ -183,6 +183,23 @@
   EXPECT_NE(asked, "w3");
 }
 
+// Without a copy anywhere, too, the next worker is asked in the end.
+TEST_F(LoadPlannerTest, AStoreLoadThatIsLateGoesElsewhere) {
+  for (Worker* worker : m_workers)
+    worker->contents.on_disk.clear();
+  LoadPlanner planner;
+  TimePoint now = kNow;
+  const std::string first = Plan(planner, now, "m1")->worker;
+  std::string asked = first;
+  for (int i = 0; i < 60 && asked == first; ++i) {
+    now += milliseconds(700);
+    m_table.Find(first)->news_at = now;
+    if (const auto planned = Plan(planner, now, "m1"))
+      asked = planned->worker;
+  }
+  EXPECT_NE(asked, first);
+}
+
 TEST_F(LoadPlannerTest, AnAskIsRepeatedAndThenGoesElsewhere) {
   LoadPlanner planner;
   const std::string first = Plan(planner, kNow, "m1")->worker;
