--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -237,6 +237,7 @@
         .random_seed = this->Seed(),
         .key_revocation = milliseconds(m_settings.key_revocation_ms),
         .controller_port = m_settings.controller_port,
+        .store_loads = static_cast<std::size_t>(m_settings.weight_store_loads),
         .retry_share = static_cast<double>(m_settings.retry_percent) / kPercent,
         .retry_reserve = static_cast<double>(m_settings.retry_reserve),
         .quota_slack = m_settings.quota_slack,
--- a/source/frontends/serving/serving_settings.cc
+++ b/source/frontends/serving/serving_settings.cc
@@ -37,6 +37,7 @@
           .retry_percent = reader.Number(kRetryPercent),
           .retry_reserve = reader.Number(kRetryReserve),
           .quota_slack = reader.Number(kQuotaSlack),
+          .weight_store_loads = reader.Number(kWeightStoreLoads),
           .grace_s = reader.Number(kGraceS),
           .log_decisions = reader.Flag(kLogDecisions)};
 }
@@ -68,6 +69,7 @@
           Named(kRetryPercent, std::to_string(values.retry_percent)),
           Named(kRetryReserve, std::to_string(values.retry_reserve)),
           Named(kQuotaSlack, std::to_string(values.quota_slack)),
+          Named(kWeightStoreLoads, std::to_string(values.weight_store_loads)),
           Named(kGraceS, std::to_string(values.grace_s)),
           Named(kLogDecisions, values.log_decisions ? "true" : "false")};
 }
--- a/source/frontends/serving/serving_settings.h
+++ b/source/frontends/serving/serving_settings.h
@@ -63,6 +63,14 @@
     0,
     1'000'000'000,
     "tokens of a team beyond its quota that the fleet may let run"};
+inline constexpr NumberSetting kWeightStoreLoads{
+    "limits",
+    "weight_store_loads",
+    0,
+    0,
+    10'000,
+    "loads that the weight store bears at once at full speed, over "
+    "the fleet; 0: found out by the time they take (gateway)"};
 inline constexpr NumberSetting kGraceS{
     "limits", "grace_s", 8,
     1,        3600,      "time from SIGTERM until the process is killed"};
@@ -89,6 +97,7 @@
   std::int64_t retry_percent = 0;
   std::int64_t retry_reserve = 0;
   std::int64_t quota_slack = 0;
+  std::int64_t weight_store_loads = 0;
   std::int64_t grace_s = 0;
   bool log_decisions = true;
 };
