--- a/source/core/engine/engine_controller.h
+++ b/source/core/engine/engine_controller.h
@@ -239,6 +239,10 @@
     Emit(LogEffect{{.event = event, .fields = std::move(fields)}});
   }
 
+  // A model that has just come is kept for so long, so that two that don't fit
+  // together take turns.
+  static constexpr Duration kLeastResidency = std::chrono::milliseconds(1'200);
+
   std::string m_vm;
   std::optional<std::uint64_t> m_fence;
   bool m_asking_fence = false;
