Refuse an endless line between the chunks of a body

A server that sends bytes without end behind the size of a chunk made the gateway keep all of them until its memory was gone: the library limits heads, not the lines between chunks. Bytes that wait for the rest of their line are limited like a head. HttpParser.BytesWithoutEndAreRefused failed before (263,002 B kept after 263 reads of 1,000 B, growing) and covers heads, status lines, trailers and chunk sizes.

--- a/source/frontends/http/http_parser.cc
+++ b/source/frontends/http/http_parser.cc
@@ -34,6 +34,7 @@
   explicit Impl(const ParserLimits& limits) {
     this->eager(true);
     this->header_limit(limits.max_header_bytes);
+    max_pending_bytes = limits.max_header_bytes;
     if (limits.max_body_bytes == 0)
       this->body_limit(boost::none);
     else
@@ -44,6 +45,8 @@
   HttpHead head;
   std::string body;
   ParseError failure = ParseError::kNone;
+  // Bytes that may wait for the rest of their line.
+  std::size_t max_pending_bytes = 0;
 
  private:
   void on_request_impl(http::verb /*method*/,
@@ -139,6 +142,12 @@
       m_impl->failure = ToParseError(error);
   }
   bytes.erase(0, consumed);
+  // why: the library limits heads, but not the lines between chunks
+  const bool grows = !m_impl->is_done() &&
+                     m_impl->failure == ParseError::kNone &&
+                     bytes.size() > m_impl->max_pending_bytes;
+  if (grows)
+    m_impl->failure = ParseError::kHeaderTooLarge;
   if (m_impl->is_header_done())
     m_impl->head.keep_alive = m_impl->keep_alive();
 }
--- a/source/unit_tests/frontends/http/http_test.cc
+++ b/source/unit_tests/frontends/http/http_test.cc
@@ -82,6 +82,33 @@
   EXPECT_NE(cut.error(), ParseError::kNone);
 }
 
+// Bytes that are no answer and never end: the parser must refuse them before
+// much of them is kept.
+TEST(HttpParser, BytesWithoutEndAreRefused) {
+  constexpr std::size_t kMostKept = 256 << 10;
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& start :
+       {std::string(), std::string("HTTP/1.1 200 "),
+        std::string("HTTP/1.1 200 OK\r\nA: "), std::string("\r\n"),
+        chunked + "5;", chunked + "0\r\nA: ", chunked + "5\r\nabcde"}) {
+    for (const char filler : {'x', ' ', '\r', '\n', '0'}) {
+      ResponseParser parser({});
+      std::string bytes = start;
+      for (int i = 0; i < 1'000 && parser.error() == ParseError::kNone; ++i) {
+        bytes += std::string(1'000, filler);
+        parser.Consume(bytes);
+        parser.TakeBody();
+        if (parser.done())
+          break;
+        ASSERT_LE(bytes.size(), kMostKept) << start << " then " << filler;
+      }
+      EXPECT_TRUE(parser.done() || parser.error() != ParseError::kNone)
+          << start << " then " << filler;
+    }
+  }
+}
+
 // A port that nobody listens on at the moment.
 std::uint16_t FreePort() {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
