Fix three faults of the new places: a withdrawn model, a lost place, a late return

Found by reading the diff, each with a test that failed before: a controller ended with an exception when a model left the configuration while it was being loaded from the store (map::at); a place went to another model when an adapter of its model was asked for first; a stopped controller kept its place for five seconds.

--- a/source/core/engine/engine_controller.cc
+++ b/source/core/engine/engine_controller.cc
@@ -106,6 +106,7 @@
   // has to be waited for
   m_draining = true;
   m_place.GiveBack();
+  SendPlaceMessages();
   Emit(ControllerDrained{});
 }
 
@@ -290,8 +291,13 @@
     m_load_times[open.source].Add(took);
   }
   Log(LogEvent::kWeightsLoaded, std::move(fields));
-  if (order.model == m_place.model() && order.adapter.empty())
-    m_place.Finish(took, m_spec->models.at(order.model).load_from_store);
+  if (order.model != m_place.model() || !order.adapter.empty())
+    return;
+  // why: the model may have left the configuration meanwhile
+  const auto spec = m_spec->models.find(order.model);
+  m_place.Finish(took, spec == m_spec->models.end()
+                           ? Duration::zero()
+                           : spec->second.load_from_store);
 }
 
 void EngineController::LogDelays(TimePoint now) {
@@ -354,8 +360,9 @@
     const auto wants = [this](const Need& need) {
       return NeedsStore(need) && m_spec->models.contains(need.model);
     };
-    const auto placed =
-        std::ranges::find(m_needs, m_place.model(), &Need::model);
+    const auto placed = std::ranges::find_if(m_needs, [this](const Need& need) {
+      return need.model == m_place.model() && need.adapter.empty();
+    });
     const bool unused = m_place.granted_at() != kNever &&
                         now - m_place.granted_at() > kUnusedPlace;
     const auto need = placed != m_needs.end() && wants(*placed) && !unused
@@ -368,6 +375,10 @@
                    static_cast<std::uint32_t>(need->Waiting()));
   }
   m_place.Tick(now);
+  SendPlaceMessages();
+}
+
+void EngineController::SendPlaceMessages() {
   for (SendToEndpoint& message : m_place.TakeMessages())
     Emit(std::move(message));
 }
--- a/source/core/engine/engine_controller.h
+++ b/source/core/engine/engine_controller.h
@@ -206,6 +206,7 @@
   // Asks for a place at the weight store for the first need that wants one, and
   // gives back one that is of no more use.
   void KeepStorePlace(TimePoint now);
+  void SendPlaceMessages();
   // Sends the next order, if one is wanted and possible.
   void Proceed(TimePoint now);
   // The order in which needs are looked at: adapters, then the model for which
--- a/source/unit_tests/core/engine/engine_controller_test.cc
+++ b/source/unit_tests/core/engine/engine_controller_test.cc
@@ -165,6 +165,31 @@
                                          .values = std::move(values)}});
   }
 
+  // A configuration without the model comes into force.
+  void Withdraw(const std::string& model) {
+    EngineSpec spec = SmallEngine();
+    spec.models.erase(model);
+    Feed(EngineSpecReceived{.spec = std::move(spec)});
+  }
+
+  // With a router that keeps places at the weight store.
+  void AskWithKeeper(const std::string& model,
+                     const std::string& adapter = "",
+                     std::uint32_t waiting = 1) {
+    Feed(PeerReceived{.from = {.vm = "r", .endpoint = "10.0.0.1:7"},
+                      .message = LoadAsk{.model = model,
+                                         .adapter = adapter,
+                                         .waiting = waiting,
+                                         .slot_keepers = {"10.0.0.1:7"}}});
+  }
+  void Grant() {
+    Feed(PeerReceived{.from = {.vm = "r", .endpoint = "10.0.0.1:7"},
+                      .message = SlotGrant{.number = m_slot_asks.back().number,
+                                           .pool = m_slot_asks.back().pool}});
+  }
+  void Drain() { Feed(ControllerDrainAsked{}); }
+  const std::vector<SlotAsk>& slot_asks() const { return m_slot_asks; }
+
   // Asks again as routers do until it is there; false when it never came.
   bool Wait(const std::string& model, Duration patience) {
     const TimePoint until = m_now + patience;
@@ -202,7 +227,10 @@
           if (const auto outcome = m_engine.Order(m_now, order->order))
             events.push_back(OrderAnswered{.outcome = *outcome});
         } else if (const auto* sent = std::get_if<SendToEndpoint>(&effect)) {
-          m_news = std::get<EngineNews>(sent->message);
+          if (const auto* news = std::get_if<EngineNews>(&sent->message))
+            m_news = *news;
+          if (const auto* ask = std::get_if<SlotAsk>(&sent->message))
+            m_slot_asks.push_back(*ask);
         } else if (auto* line = std::get_if<LogEffect>(&effect)) {
           m_logged[line->record.event] = std::move(line->record.fields);
         }
@@ -216,6 +244,7 @@
   EngineNews m_news;
   std::map<LogEvent, std::vector<LogField>> m_logged;
   std::uint64_t m_fence = 0;
+  std::vector<SlotAsk> m_slot_asks;
 };
 
 TEST(EngineController, LoadsWhatIsAskedForAndTells) {
@@ -399,6 +428,59 @@
   EXPECT_EQ(bench.Logged(LogEvent::kLoadDelayed, "why"), "nothing_gives_way");
 }
 
+TEST(EngineController, LoadsFromTheStoreOnlyWithAPlace) {
+  Bench bench(3);
+  bench.engine().BeReliable();
+  bench.AskWithKeeper("m1");
+  bench.Pass(milliseconds(1'500));
+  ASSERT_FALSE(bench.slot_asks().empty());
+  EXPECT_EQ(bench.slot_asks().back().name, "m1");
+  EXPECT_FALSE(bench.engine().Holds("m1"));
+  bench.AskWithKeeper("m1");
+  bench.Grant();
+  bench.Pass(milliseconds(1'500));
+  EXPECT_TRUE(bench.engine().Holds("m1"));
+  EXPECT_TRUE(bench.slot_asks().back().done);
+  EXPECT_GT(bench.slot_asks().back().took, Duration::zero());
+}
+
+TEST(EngineController, AModelMayLeaveTheConfigurationWhileItLoads) {
+  Bench bench(3);
+  bench.engine().BeReliable();
+  bench.AskWithKeeper("m1");
+  bench.Pass(milliseconds(100));
+  bench.Grant();
+  bench.Pass(milliseconds(300));
+  bench.Withdraw("m1");
+  bench.Pass(milliseconds(1'500));
+  EXPECT_TRUE(bench.engine().Holds("m1"));
+  EXPECT_TRUE(bench.slot_asks().back().done);
+}
+
+// An adapter of the same model, and more urgently another model, are wanted,
+// too.
+TEST(EngineController, APlaceStaysWithItsModelWhileAdaptersAreAskedFor) {
+  Bench bench(3);
+  bench.engine().BeReliable();
+  for (int i = 0; i < 4; ++i) {
+    bench.AskWithKeeper("m1", "a1");
+    bench.AskWithKeeper("m1");
+    bench.Pass(milliseconds(500));
+    bench.AskWithKeeper("m2", "", /*waiting=*/5);
+  }
+  for (const SlotAsk& ask : bench.slot_asks())
+    EXPECT_EQ(ask.number, bench.slot_asks().front().number);
+}
+
+TEST(EngineController, AStoppedControllerGivesItsPlaceBackAtOnce) {
+  Bench bench(3);
+  bench.AskWithKeeper("m1");
+  bench.Pass(milliseconds(200));
+  bench.Drain();
+  ASSERT_FALSE(bench.slot_asks().empty());
+  EXPECT_TRUE(bench.slot_asks().back().done);
+}
+
 TEST(EngineController, ARestartedEngineIsFilledAnew) {
   Bench bench(3);
   ASSERT_TRUE(bench.Wait("m1", seconds(20)));
