Let a controller load the models of every engine service

Found by looking for what else could keep a name from ever being served: with two engine services in a configuration, each controller took only the last service's models for known, and the others' were never ordered (load_delayed not_in_config). No deployment at hand has two. A controller can't tell its engine's service, so it knows all models, within the smallest memory and the fewest places. The test covers the new function; that the process lost the others was read, not run.

--- a/source/core/serving/serving_config.cc
+++ b/source/core/serving/serving_config.cc
@@ -18,6 +18,24 @@
 
 }  // namespace
 
+std::optional<EngineSpec> SpecOfAnyEngine(const ServingConfig& config) {
+  std::optional<EngineSpec> all;
+  for (const auto& [name, service] : config.services) {
+    if (!service.engine)
+      continue;
+    const EngineSpec& engine = *service.engine;
+    if (!all) {
+      all = engine;
+      continue;
+    }
+    all->slots = std::min(all->slots, engine.slots);
+    all->memory_mb = std::min(all->memory_mb, engine.memory_mb);
+    all->adapter_slots = std::min(all->adapter_slots, engine.adapter_slots);
+    all->models.insert(engine.models.begin(), engine.models.end());
+  }
+  return all;
+}
+
 ConfigIndex::ConfigIndex(ServingConfig config) : m_config(std::move(config)) {
   for (const ServingRoute& route : m_config.routes)
     m_by_host[LowerCaseHost(route.host)].push_back(&route);
--- a/source/core/serving/serving_config.h
+++ b/source/core/serving/serving_config.h
@@ -120,6 +120,12 @@
   CallerLimits limits;
 };
 
+// What any engine of the configuration may be ordered to hold: the models of
+// all services, whose names are unique, within the smallest memory and the
+// fewest places. A controller can't tell which service its engine belongs to.
+// Nothing without engines.
+std::optional<EngineSpec> SpecOfAnyEngine(const ServingConfig& config);
+
 // A configuration with its look-ups; immutable once built.
 class ConfigIndex {
  public:
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -473,11 +473,8 @@
     const std::optional<ServingConfig> config = this->ReadConfig(changed.item);
     if (!config)
       return;
-    // why: the models of all engines are told; their names are unique
-    for (const auto& [name, service] : config->services) {
-      if (service.engine)
-        m_machine.Post(EngineSpecReceived{.spec = *service.engine});
-    }
+    if (auto spec = SpecOfAnyEngine(*config))
+      m_machine.Post(EngineSpecReceived{.spec = *std::move(spec)});
   }
   void Take(const std::string& prefix, const StoreLost& lost) {
     this->LogStore(prefix, lost);
