Test what was changed without a test; correct what was claimed

The programs behave as before: LoadPlanner::Plan is split (CanLoad), a comment is corrected.

Removed: parts of the fleet simulation that nothing used, a last tier that meant nothing.

--- a/source/core/routing/measured_limit.h
+++ b/source/core/routing/measured_limit.h
@@ -12,6 +12,7 @@
 
 class MeasuredLimit {
  public:
+  // Until a load was measured: few, since too many slow down all.
   static constexpr std::size_t kFirst = 2;
   static constexpr std::size_t kMost = 32;
   // A load that takes more than this times its expected time was slowed down.
--- a/source/core/serving/load_planner.cc
+++ b/source/core/serving/load_planner.cc
@@ -64,7 +64,6 @@
   kFromStore,  // it would take them from the weight store
   kLate,       // it was asked and did not load them in time
   kNoRoom,     // nothing that it holds could make room
-  kLast,
 };
 
 // What speaks against a worker that fails requests: its weights could not be
@@ -299,6 +298,25 @@
   return false;
 }
 
+bool LoadPlanner::CanLoad(TimePoint now,
+                          const EngineSpec& engine,
+                          const Worker& worker,
+                          const WeightsNeed& need) const {
+  const auto silent = m_silent.find(worker.entry.id);
+  if (silent != m_silent.end() && now < silent->second)
+    return false;
+  if (worker.entry.state != WorkerState::kReady)
+    return false;
+  const bool has_model = worker.contents.Find(need.model) != nullptr;
+  if (!need.adapter.empty())
+    return has_model;
+  if (has_model || need.waiting > 0)
+    return !has_model;
+  // why: what nobody waits for must take nothing from others
+  return HasRoomFor(engine, worker, engine.models.at(need.model)) &&
+         IsAtHand(worker.contents, need.model);
+}
+
 std::optional<PlannedLoad> LoadPlanner::Plan(TimePoint now,
                                              const EngineSpec& engine,
                                              std::span<Worker* const> workers,
@@ -315,20 +333,9 @@
   const std::string keep = stays ? wish->second.worker : "";
   const std::string late = open ? wish->second.late_worker : "";
   Worker* best = nullptr;
-  std::pair best_rank{LoadTier::kLast, Duration::max()};
+  std::pair<LoadTier, Duration> best_rank;
   for (Worker* worker : workers) {
-    const auto silent = m_silent.find(worker->entry.id);
-    if (silent != m_silent.end() && now < silent->second)
-      continue;
-    const bool possible =
-        worker->entry.state == WorkerState::kReady &&
-        (need.adapter.empty() ? worker->contents.Find(need.model) == nullptr
-                              : worker->contents.Find(need.model) != nullptr);
-    const bool takes_room =
-        need.waiting == 0 && need.adapter.empty() &&
-        !(HasRoomFor(engine, *worker, engine.models.at(need.model)) &&
-          IsAtHand(worker->contents, need.model));
-    if (!possible || takes_room)
+    if (!CanLoad(now, engine, *worker, need))
       continue;
     const LoadTier tier = worker->entry.id == late    ? LoadTier::kLate
                           : NeedsStore(need, *worker) ? LoadTier::kFromStore
@@ -338,7 +345,7 @@
                               : Cost(now, engine, workers, *worker, need);
     const std::pair rank{
         cost < kImpossible ? tier : std::max(tier, LoadTier::kNoRoom), cost};
-    if (rank < best_rank) {
+    if (best == nullptr || rank < best_rank) {
       best = worker;
       best_rank = rank;
     }
--- a/source/core/serving/load_planner.h
+++ b/source/core/serving/load_planner.h
@@ -90,6 +90,11 @@
 
   void Count(TimePoint now, const std::string& weights);
 
+  // Whether the worker may be asked at all.
+  bool CanLoad(TimePoint now,
+               const EngineSpec& engine,
+               const Worker& worker,
+               const WeightsNeed& need) const;
   Duration Cost(TimePoint now,
                 const EngineSpec& engine,
                 std::span<Worker* const> workers,
--- a/source/core/serving/request_loads.cc
+++ b/source/core/serving/request_loads.cc
@@ -8,8 +8,8 @@
 
 namespace {
 
-// Loads from the weight store that routers have going before anybody asks: as
-// many as the store bears at full speed.
+// Loads from the weight store that a router asks for before anybody needs them;
+// how many run at once is for the places there to say.
 constexpr std::size_t kPreparedFromStore = 4;
 // Loads into free memory begun at a time.
 constexpr std::size_t kPreparedAtOnce = 12;
--- a/source/unit_tests/core/serving/fleet_placement_test.cc
+++ b/source/unit_tests/core/serving/fleet_placement_test.cc
@@ -23,14 +23,18 @@
   return text;
 }
 
-// Requests for models drawn evenly, so many a second in all.
+// Requests for models drawn evenly, so many a second in all; a quarter of them
+// for adapters.
 void Serve(FleetSimulation& fleet,
            std::size_t models,
            int per_second,
            Duration duration) {
   const Duration pause = Duration(seconds(1)) / per_second;
+  constexpr std::uint64_t kAdapters = 4;
   for (Duration passed{}; passed < duration; passed += pause) {
-    fleet.Arrive(FleetSimulation::ModelName(fleet.random().Below(models)));
+    const std::uint64_t drawn = fleet.random().Below(kAdapters * 4);
+    fleet.Arrive(FleetSimulation::ModelName(fleet.random().Below(models)),
+                 drawn < kAdapters ? "a" + std::to_string(drawn) : "");
     fleet.Pass(pause);
   }
 }
@@ -52,8 +56,23 @@
   EXPECT_LE(fleet.store().most(), kFullSpeed);
 }
 
-// Random fleets whose engines crash at random moments: every model that is
-// asked for through the day is served.
+// The router that keeps the places is silent from the start and stays listed.
+// No engine has a copy of any model.
+TEST(FleetPlacement, LoadsGoOnWhenTheKeeperOfPlacesIsSilent) {
+  constexpr std::size_t kModels = 6;
+  FleetSimulation fleet({.engines = 4,
+                         .models = kModels,
+                         .copies = 0,
+                         .store_full_speed = kFullSpeed,
+                         .seed = 11});
+  fleet.SilenceKeeper();
+  Serve(fleet, kModels, 6, seconds(60));
+  EXPECT_EQ(Text(fleet.Starved()), "");
+  EXPECT_LE(fleet.store().most(), kFullSpeed);
+}
+
+// Random fleets whose engines crash at random moments and whose messages are
+// lost: every model and adapter that is asked for through the day is served.
 std::string StarvedIn(std::uint64_t seed) {
   Random random(seed);
   const std::size_t engines = 4 + random.Below(10);
@@ -62,6 +81,7 @@
                          .routers = 1 + random.Below(5),
                          .models = models,
                          .copies = 1 + random.Below(2),
+                         .lost_percent = random.Below(20),
                          .store_full_speed = 2 + random.Below(3),
                          .store_loads = 0,
                          .seed = seed});
--- a/source/unit_tests/core/serving/fleet_simulation.h
+++ b/source/unit_tests/core/serving/fleet_simulation.h
@@ -1,6 +1,7 @@
 // Routers, controllers and engines of a small fleet in virtual time: the
 // routers and controllers are the real ones, the engines and the weight store
-// behind them are models. Messages take a moment; none is lost.
+// behind them are models. Messages take a moment and may be lost; a router may
+// fall silent.
 #pragma once
 
 #include <algorithm>
@@ -16,8 +17,10 @@
 #include <utility>
 #include <vector>
 
+#include "common/hashing.h"
 #include "common/random.h"
 #include "core/engine/engine_controller.h"
+#include "core/routing/slot_semaphore.h"
 #include "core/serving/load_planner.h"
 #include "core/serving/serving_router.h"
 
@@ -33,7 +36,6 @@
   void Begin(const std::string& engine, Duration work) {
     m_left[engine] = ToSeconds(work);
     m_most = std::max(m_most, m_left.size());
-    ++m_begun;
   }
   void Drop(const std::string& engine) { m_left.erase(engine); }
   // Whether the engine's load is done.
@@ -49,15 +51,13 @@
       left -= ToSeconds(time) * speed;
   }
 
-  // The most loads that were under way at once, and all of them.
+  // The most loads that were under way at once.
   std::size_t most() const { return m_most; }
-  std::size_t begun() const { return m_begun; }
 
  private:
   std::size_t m_full_speed;
   std::map<std::string, double> m_left;
   std::size_t m_most = 0;
-  std::size_t m_begun = 0;
 };
 
 // One order at a time, an unload waits for the runs of its model, and copies of
@@ -178,7 +178,8 @@
   std::size_t models = 20;
   // Copies of each model on disks.
   std::size_t copies = 1;
-  std::size_t adapters = 0;
+  // Messages between processes that are lost, in a hundred.
+  std::size_t lost_percent = 0;
   std::size_t store_full_speed = 2;
   // What the routers' settings say of it; 0: found out.
   std::size_t store_loads = 2;
@@ -228,7 +229,7 @@
 
   // One request for a model, or an adapter of it, at some router.
   void Arrive(const std::string& model, const std::string& adapter = "") {
-    Router& router = *m_routers[m_random.Below(m_routers.size())];
+    Router& router = RandomRouter();
     const RequestId id = ++m_last_request;
     ServingRequest request{.id = id,
                            .trace_id = "t" + std::to_string(id),
@@ -266,7 +267,7 @@
           Feed(*node, ControllerTicked{});
       }
       for (auto& router : m_routers) {
-        if (router->machine.NextTick(m_now) <= m_now)
+        if (!router->silent && router->machine.NextTick(m_now) <= m_now)
           Feed(*router, ServingTicked{});
       }
       if (m_now >= m_next_announcement)
@@ -286,6 +287,17 @@
     });
   }
 
+  // The router that keeps the places at the weight store hears and says nothing
+  // any more, and stays in the others' lists.
+  void SilenceKeeper() {
+    std::vector<std::string> vms;
+    for (const auto& router : m_routers)
+      vms.push_back(router->vm);
+    const std::string keeper = RendezvousOrder(kStoreLoadSlots, vms).front();
+    for (auto& router : m_routers)
+      router->silent = router->silent || router->vm == keeper;
+  }
+
   // Names that were asked for four times or more over eight seconds and never
   // served.
   std::vector<std::string> Starved() const {
@@ -299,14 +311,7 @@
     }
     return starved;
   }
-  int Served() const {
-    int served = 0;
-    for (const auto& [name, outcome] : m_outcomes)
-      served += outcome.served;
-    return served;
-  }
   const SimulatedWeightStore& store() const { return m_store; }
-  std::size_t engines() const { return m_nodes.size(); }
   Random& random() { return m_random; }
 
  private:
@@ -345,6 +350,7 @@
     std::string vm;
     std::string endpoint;
     ServingRouter machine;
+    bool silent = false;
     std::set<AttemptNumber> cancelled;
   };
   struct Later {
@@ -356,6 +362,15 @@
     }
   };
 
+  // One that is not silent.
+  Router& RandomRouter() {
+    while (true) {
+      Router& router = *m_routers[m_random.Below(m_routers.size())];
+      if (!router.silent)
+        return router;
+    }
+  }
+
   void After(Duration delay, std::function<void()> action) {
     m_later.push({m_now + delay, ++m_last_action, std::move(action)});
   }
@@ -460,9 +475,11 @@
   }
 
   void Deliver(PeerSender from, SendToEndpoint sent) {
+    if (m_random.Below(100) < m_options.lost_percent)
+      return;
     After(kNetworkDelay, [this, from, sent] {
       for (auto& router : m_routers) {
-        if (router->endpoint == sent.endpoint)
+        if (router->endpoint == sent.endpoint && !router->silent)
           Feed(*router, PeerReceived{.from = from, .message = sent.message});
       }
       for (auto& node : m_nodes) {
--- a/source/unit_tests/frontends/serving_settings_test.cc
+++ b/source/unit_tests/frontends/serving_settings_test.cc
@@ -33,6 +33,15 @@
   }
 }
 
+TEST(ServingSettings, LoadsAtTheWeightStoreAreFoundOutUnlessSet) {
+  const auto read = [](const std::string& more) {
+    return ParseServingSettings(GatewayFile(more), "g.ini").weight_store_loads;
+  };
+  EXPECT_EQ(read(""), 0);
+  EXPECT_EQ(read("[limits]\nweight_store_loads = 4\n"), 4);
+  EXPECT_THROW(read("[limits]\nweight_store_loads = -1\n"), Error);
+}
+
 TEST(ServingSettings, AReloadTellsWhatNeedsARestart) {
   const ServingSettings running = ParseServingSettings(GatewayFile(), "g.ini");
   EXPECT_EQ(running.file, "g.ini");
