Read what a connection has received before it expires

Callers saw: a request on a kept connection got no response, and the connection was reset. Cause: a connection counted as idle by when its bytes were last read. With more than 64 ready sockets, or a handler that runs past the time-out, the check of expired connections ran before the read and closed the socket with the request in it. In the same way a request whose rest had arrived in time was refused with 408.

An expired connection is now read first, and closed only if that brings nothing; then its sending side is shut down as after a last response, so that unread input doesn't reset it.

--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -330,33 +330,43 @@
   m_connections.erase(found);
 }
 
+bool HttpServer::IsExpired(TimePoint now, const Connection& connection) const {
+  if (connection.exchange != 0)
+    return false;
+  const Duration idle_time = now - connection.last_progress;
+  if (connection.closing)
+    return idle_time > kCloseTimeout;
+  if (connection.parser && !connection.parser->head_done())
+    return now - connection.request_started > m_limits.header_timeout;
+  return idle_time > m_limits.idle_timeout;
+}
+
+void HttpServer::CloseIfExpired(TimePoint now, ConnectionId id) {
+  Connection* connection = Find(id);
+  if (connection == nullptr)
+    return;
+  if (connection->closing)
+    return Disconnect(id, connection->end);
+  // After a pause of the process or a long handler, the socket may hold a
+  // request that arrived in time.
+  connection->tcp->ReadPending();
+  connection = Find(id);
+  if (connection == nullptr || !IsExpired(now, *connection))
+    return;
+  if (connection->parser)
+    return RejectRequest(*connection, 408, ParseError::kNone);
+  CloseGracefully(*connection, ConnectionEnd::kIdle);
+}
+
 void HttpServer::CloseExpiredConnections() {
   const TimePoint now = ReadBootClock();
   std::vector<ConnectionId> expired;
-  std::vector<ConnectionId> timed_out;
   for (const auto& [id, connection] : m_connections) {
-    if (connection->exchange != 0)
-      continue;
-    const Duration idle_time = now - connection->last_progress;
-    if (connection->closing) {
-      if (idle_time > kCloseTimeout)
-        expired.push_back(id);
-    } else if (connection->parser && !connection->parser->head_done()) {
-      if (now - connection->request_started > m_limits.header_timeout)
-        timed_out.push_back(id);
-    } else if (idle_time > m_limits.idle_timeout) {
-      if (connection->parser)
-        timed_out.push_back(id);
-      else
-        expired.push_back(id);
-    }
-  }
-  for (const ConnectionId id : timed_out)
-    RejectRequest(*Find(id), 408, ParseError::kNone);
-  for (const ConnectionId id : expired) {
-    const Connection& connection = *Find(id);
-    Disconnect(id, connection.closing ? connection.end : ConnectionEnd::kIdle);
+    if (IsExpired(now, *connection))
+      expired.push_back(id);
   }
+  for (const ConnectionId id : expired)
+    CloseIfExpired(now, id);
   m_expiry_timer = m_loop.StartTimer(now + kExpiryCheckPeriod,
                                      [this] { CloseExpiredConnections(); });
   AcceptConnections();
--- a/source/frontends/http/http_server.h
+++ b/source/frontends/http/http_server.h
@@ -155,6 +155,10 @@
   void RemoveConnection(ConnectionId id);
   // Reports the connection if a request on it gets no response.
   void ReportIfUnanswered(const Connection& connection, ConnectionEnd reason);
+  // Whether the connection, or the request being received on it, has used its
+  // time.
+  bool IsExpired(TimePoint now, const Connection& connection) const;
+  void CloseIfExpired(TimePoint now, ConnectionId id);
   void CloseExpiredConnections();
 
   void Handle(SendHttpResponse message);
--- a/source/frontends/loop/tcp_connection.cc
+++ b/source/frontends/loop/tcp_connection.cc
@@ -165,6 +165,11 @@
     ReportClosed(reason);
 }
 
+void TcpConnection::ReadPending() {
+  if (!m_closed)
+    OnEvents(EPOLLIN);
+}
+
 std::size_t TcpConnection::unread_bytes() const {
   int bytes = 0;
   return ioctl(m_fd, FIONREAD, &bytes) == 0 ? static_cast<std::size_t>(bytes)
--- a/source/frontends/loop/tcp_connection.h
+++ b/source/frontends/loop/tcp_connection.h
@@ -66,6 +66,8 @@
   TcpConnection& operator=(const TcpConnection&) = delete;
 
   void Send(std::string_view bytes);
+  // Reads what the socket has received, without waiting for the loop.
+  void ReadPending();
   // Shuts down the sending side once all buffered output is written.
   void ShutDownSending();
 
--- a/source/unit_tests/frontends/http/http_server_test.cc
+++ b/source/unit_tests/frontends/http/http_server_test.cc
@@ -3,7 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "unit_tests/frontends/http/http_fixture.h"
 
@@ -57,7 +61,75 @@
   client.Send(kRequest);
   ASSERT_TRUE(RunUntil([&] { return client.HasEnded(); }));
   EXPECT_TRUE(m_unanswered_closes.empty());
-  EXPECT_NE(client.Received(), "");
+  EXPECT_FALSE(client.Received().empty());
+}
+
+// A connection is not idle while a request waits in its socket: with more ready
+// sockets than the loop reads at once, the check of idle connections ran before
+// the rest were read.
+TEST_F(HttpServerTest, AnswersRequestsThatArriveWhileTheLoopIsBlocked) {
+  constexpr std::size_t kClients = 150;
+  constexpr Duration kIdleTimeout = milliseconds(400);
+  ServeEmptyResponses({.idle_timeout = kIdleTimeout});
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (std::size_t i = 0; i < kClients; ++i)
+    clients.push_back(std::make_unique<RawClient>(m_endpoint));
+  ASSERT_TRUE(
+      RunUntil([&] { return m_server->connection_count() == kClients; }));
+  std::this_thread::sleep_for(kIdleTimeout + milliseconds(300));
+  for (const auto& client : clients)
+    client->Send(kRequest);
+  RunUntil([&] {
+    return std::ranges::all_of(clients, [](const auto& client) {
+      return !client->Received().empty();
+    });
+  });
+  const auto unanswered = std::ranges::count_if(
+      clients, [](const auto& client) { return client->Received().empty(); });
+  EXPECT_EQ(unanswered, 0);
+  EXPECT_TRUE(m_unanswered_closes.empty());
+}
+
+// Another connection's handler may run for longer than the idle time-out.
+TEST_F(HttpServerTest, AnswersARequestThatArrivesDuringALongHandler) {
+  constexpr Duration kIdleTimeout = milliseconds(300);
+  std::unique_ptr<RawClient> idle;
+  Serve({.idle_timeout = kIdleTimeout},
+        [&](ExchangeId id, const HttpMessage& request) {
+          if (request.head.target == "/slow") {
+            std::this_thread::sleep_for(kIdleTimeout + milliseconds(300));
+            idle->Send(kRequest);
+          }
+          m_server->Post(SendHttpResponse{.id = id});
+        });
+  idle = std::make_unique<RawClient>(m_endpoint);
+  RawClient slow(m_endpoint);
+  ASSERT_TRUE(RunUntil([&] { return m_server->connection_count() == 2; }));
+  slow.Send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil([&] { return !idle->Received().empty() || idle->HasEnded(); });
+  EXPECT_FALSE(idle->Received().empty());
+}
+
+// The rest of a request may have arrived in time while the process was paused.
+TEST_F(HttpServerTest, CompletesARequestThatWasReceivedBeforeItsTimeout) {
+  constexpr Duration kHeaderTimeout = milliseconds(300);
+  std::unique_ptr<RawClient> client;
+  Serve({.header_timeout = kHeaderTimeout},
+        [&](ExchangeId id, const HttpMessage& request) {
+          if (request.head.target == "/slow") {
+            client->Send("Host: h\r\n\r\n");
+            std::this_thread::sleep_for(kHeaderTimeout + milliseconds(300));
+          }
+          m_server->Post(SendHttpResponse{.id = id});
+        });
+  client = std::make_unique<RawClient>(m_endpoint);
+  RawClient slow(m_endpoint);
+  client->Send("GET /x HTTP/1.1\r\n");
+  RunFor(milliseconds(50));
+  slow.Send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil([&] { return !client->Received().empty() || client->HasEnded(); });
+  EXPECT_TRUE(client->Received().starts_with("HTTP/1.1 200"))
+      << client->Received();
 }
 
 }  // namespace
