Keep the limits under which a connection became idle

Callers saw: after a configuration that lowers idle-timeout-ms, a request on a kept connection got no response. Cause: lower limits applied at once to connections that were already idle and to requests being received, while callers reuse a connection by the limit that they knew when they left it idle, and learn of a change later.

A connection now keeps the limits as of when it became idle or its request began, a longer new limit aside, and a lowered idle time-out takes effect once the earlier one has passed.

--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <optional>
 #include <utility>
@@ -36,6 +37,8 @@
   ConnectionId id = 0;
   std::unique_ptr<TcpConnection> tcp;
   std::optional<RequestParser> parser;
+  // As of when the connection became idle or its request began.
+  ServerLimits limits;
   // The exchange whose response is pending; 0 for none.
   ExchangeId exchange = 0;
   bool keep_alive = true;
@@ -88,6 +91,7 @@
     auto connection = std::make_unique<Connection>();
     connection->id = id;
     connection->last_progress = ReadBootClock();
+    connection->limits = CurrentLimits(connection->last_progress);
     connection->tcp = std::make_unique<TcpConnection>(
         m_loop, fd, kClientKeepalive,
         TcpConnection::Handlers{.on_received = [this, id] { OnReceived(id); },
@@ -163,10 +167,11 @@
   if (input.empty())
     return;
   if (!connection.parser) {
-    connection.parser.emplace(
-        ParserLimits{.max_header_bytes = m_limits.max_header_bytes,
-                     .max_body_bytes = m_limits.max_body_bytes});
     connection.request_started = ReadBootClock();
+    connection.limits = CurrentLimits(connection.request_started);
+    connection.parser.emplace(
+        ParserLimits{.max_header_bytes = connection.limits.max_header_bytes,
+                     .max_body_bytes = connection.limits.max_body_bytes});
     connection.continue_sent = false;
   }
   RequestParser& parser = *connection.parser;
@@ -185,7 +190,7 @@
     return DispatchRequest(connection);
   // An incomplete header stays in the input buffer, where the parser's own
   // limit doesn't apply to it.
-  if (!parser.head_done() && input.size() > m_limits.max_header_bytes)
+  if (!parser.head_done() && input.size() > connection.limits.max_header_bytes)
     return RejectRequest(connection, 431, ParseError::kHeaderTooLarge);
   if (parser.head_done() && !connection.continue_sent &&
       ExpectsContinue(parser.head())) {
@@ -280,6 +285,23 @@
   RemoveConnection(connection->id);
 }
 
+void HttpServer::Handle(const ServerLimits& message) {
+  const TimePoint now = ReadBootClock();
+  const Duration idle_timeout = CurrentLimits(now).idle_timeout;
+  if (message.idle_timeout < idle_timeout) {
+    m_earlier_idle_timeout = idle_timeout;
+    m_earlier_idle_timeout_until = now + idle_timeout;
+  }
+  m_limits = message;
+}
+
+ServerLimits HttpServer::CurrentLimits(TimePoint now) const {
+  ServerLimits limits = m_limits;
+  if (now < m_earlier_idle_timeout_until)
+    limits.idle_timeout = std::max(limits.idle_timeout, m_earlier_idle_timeout);
+  return limits;
+}
+
 void HttpServer::Handle(const DrainHttpServer& /*message*/) {
   m_draining = true;
 }
@@ -306,6 +328,7 @@
   connection.exchange = 0;
   connection.chunked = false;
   connection.last_progress = ReadBootClock();
+  connection.limits = CurrentLimits(connection.last_progress);
   // A streamed response that began before the drain promised to keep the
   // connection open. It is closed all the same, since the client would send its
   // next request to a process that is shutting down.
@@ -337,8 +360,9 @@
   if (connection.closing)
     return idle_time > kCloseTimeout;
   if (connection.parser && !connection.parser->head_done())
-    return now - connection.request_started > m_limits.header_timeout;
-  return idle_time > m_limits.idle_timeout;
+    return now - connection.request_started > connection.limits.header_timeout;
+  return idle_time >
+         std::max(m_limits.idle_timeout, connection.limits.idle_timeout);
 }
 
 void HttpServer::CloseIfExpired(TimePoint now, ConnectionId id) {
--- a/source/frontends/http/http_server.h
+++ b/source/frontends/http/http_server.h
@@ -166,15 +166,21 @@
   void Handle(const SendHttpResponseBody& message);
   void Handle(const EndHttpResponse& message);
   void Handle(const AbortHttpResponse& message);
-  void Handle(const ServerLimits& message) { m_limits = message; }
+  void Handle(const ServerLimits& message);
   void Handle(const DrainHttpServer& message);
   void Handle(const ShutDownHttpServer& message);
 
+  // The limits for connections that become idle, or receive a request, now.
+  ServerLimits CurrentLimits(TimePoint now) const;
   Connection* Find(ConnectionId id);
   Connection* FindExchange(ExchangeId id);
 
   EventLoop& m_loop;
   ServerLimits m_limits;
+  // A lowered idle time-out takes effect once the earlier one has passed, since
+  // clients learn of it later than the server.
+  Duration m_earlier_idle_timeout = Duration::zero();
+  TimePoint m_earlier_idle_timeout_until = TimePoint{};
   ServerHandlers m_handlers;
   int m_listener;
   std::unordered_map<ConnectionId, std::unique_ptr<Connection>> m_connections;
--- a/source/unit_tests/frontends/http/http_server_test.cc
+++ b/source/unit_tests/frontends/http/http_server_test.cc
@@ -132,5 +132,62 @@
       << client->Received();
 }
 
+// Clients reuse a connection by the limit that they knew when it became idle.
+TEST_F(HttpServerTest, AnswersOnAConnectionThatWasIdleWhenTheLimitFell) {
+  ServeEmptyResponses({.idle_timeout = milliseconds(2'000)});
+  RawClient client(m_endpoint);
+  client.Send(kRequest);
+  ASSERT_TRUE(RunUntil([&] { return !client.Received().empty(); }));
+  const std::size_t first_size = client.Received().size();
+  m_server->Post(ServerLimits{.idle_timeout = milliseconds(200)});
+  RunFor(milliseconds(1'500));
+  client.Send(kRequest);
+  RunUntil([&] {
+    return client.Received().size() > first_size || client.HasEnded();
+  });
+  EXPECT_EQ(client.Received().size(), 2 * first_size);
+}
+
+// A client may learn of a lower limit later than the server.
+TEST_F(HttpServerTest, AnswersOnAConnectionThatBecameIdleAfterTheLimitFell) {
+  ServeEmptyResponses({.idle_timeout = milliseconds(2'000)});
+  RawClient client(m_endpoint);
+  m_server->Post(ServerLimits{.idle_timeout = milliseconds(200)});
+  RunFor(milliseconds(50));
+  client.Send(kRequest);
+  ASSERT_TRUE(RunUntil([&] { return !client.Received().empty(); }));
+  const std::size_t first_size = client.Received().size();
+  RunFor(milliseconds(1'200));
+  client.Send(kRequest);
+  RunUntil([&] {
+    return client.Received().size() > first_size || client.HasEnded();
+  });
+  EXPECT_EQ(client.Received().size(), 2 * first_size);
+}
+
+TEST_F(HttpServerTest, ALoweredIdleLimitAppliesAfterTheEarlierOneHasPassed) {
+  ServeEmptyResponses({.idle_timeout = milliseconds(600)});
+  m_server->Post(ServerLimits{.idle_timeout = milliseconds(100)});
+  RunFor(milliseconds(700));
+  RawClient client(m_endpoint);
+  RunFor(milliseconds(50));
+  ASSERT_FALSE(client.HasEnded());
+  RunFor(milliseconds(400));
+  EXPECT_TRUE(client.HasEnded());
+}
+
+TEST_F(HttpServerTest, KeepsTheHeaderTimeoutOfARequestThatHasBegun) {
+  ServeEmptyResponses({.header_timeout = milliseconds(2'000)});
+  RawClient client(m_endpoint);
+  client.Send("GET /x HTTP/1.1\r\n");
+  RunFor(milliseconds(50));
+  m_server->Post(ServerLimits{.header_timeout = milliseconds(100)});
+  RunFor(milliseconds(700));
+  client.Send("Host: h\r\n\r\n");
+  RunUntil([&] { return !client.Received().empty(); });
+  EXPECT_TRUE(client.Received().starts_with("HTTP/1.1 200"))
+      << client.Received();
+}
+
 }  // namespace
 }  // namespace boragepick
