Answer requests that have arrived when the server shuts down

Callers saw: around a SIGTERM, a request on a kept connection got no response although the gateway still completes requests. Cause: at the end of a drain the server closed each connection without a request, also if one waited unread in its socket.

Before the change the new test AnswersARequestThatArrivesAsTheServerShutsDown prints: Value of: idle->Received().starts_with("HTTP/1.1 200") Actual: false and E0210 reports the close. Such a connection is now read first; a request found on it is handled and its response closes the connection.

--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -314,13 +314,23 @@
     close(m_listener);
     m_listener = -1;
   }
+  const auto is_idle = [](const Connection& connection) {
+    return connection.exchange == 0 && !connection.parser &&
+           !connection.closing;
+  };
   std::vector<ConnectionId> idle;
   for (const auto& [id, connection] : m_connections) {
-    if (connection->exchange == 0 && !connection->parser)
+    if (is_idle(*connection))
       idle.push_back(id);
   }
-  for (const ConnectionId id : idle)
-    CloseGracefully(*Find(id), ConnectionEnd::kShutDown);
+  for (const ConnectionId id : idle) {
+    // A request that has arrived gets its response.
+    if (Connection* connection = Find(id))
+      connection->tcp->ReadPending();
+    Connection* connection = Find(id);
+    if (connection != nullptr && is_idle(*connection))
+      CloseGracefully(*connection, ConnectionEnd::kShutDown);
+  }
 }
 
 void HttpServer::CompleteResponse(Connection& connection) {
--- a/source/unit_tests/frontends/http/http_server_test.cc
+++ b/source/unit_tests/frontends/http/http_server_test.cc
@@ -189,5 +189,23 @@
       << client.Received();
 }
 
+TEST_F(HttpServerTest, AnswersARequestThatArrivesAsTheServerShutsDown) {
+  std::unique_ptr<RawClient> idle;
+  Serve({}, [&](ExchangeId id, const HttpMessage& request) {
+    if (request.head.target == "/last") {
+      idle->Send(kRequest);
+      m_server->Post(ShutDownHttpServer{});
+    }
+    m_server->Post(SendHttpResponse{.id = id});
+  });
+  idle = std::make_unique<RawClient>(m_endpoint);
+  RawClient last(m_endpoint);
+  ASSERT_TRUE(RunUntil([&] { return m_server->connection_count() == 2; }));
+  last.Send("GET /last HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil([&] { return idle->HasEnded(); });
+  EXPECT_TRUE(idle->Received().starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(m_unanswered_closes.empty());
+}
+
 }  // namespace
 }  // namespace boragepick
