Don't watch the listener at the connection limit

Cause: at max_connections the server stopped accepting but kept watching its listener, which stays readable while clients wait, so the loop spun; the same after accept() had failed for want of descriptors, without a log line. A spinning loop delays all requests of the process, and the clients that wait aren't read.

Before the change the new test DoesNotSpinAtTheConnectionLimit prints: (processor_time() - before) < (kObserved / 5), actual: 493136us vs 100000us The listener is no longer watched until a connection has ended or the next check of expired connections, and E0211 accept_paused gives the reason. The 26 tests of the HTTP server, client, parser and of the event catalogue pass.

--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -74,6 +74,9 @@
       {LogEvent::kUnansweredClose, kWarning, kFront, "unanswered_close",
        "The server closed a connection with a request unread, unparsed or "
        "unanswered; fields give the reason and the bytes."},
+      {LogEvent::kAcceptPaused, kWarning, kFront, "accept_paused",
+       "New connections wait because the connection limit is reached or "
+       "accept() failed; repeated at most every ten seconds."},
       {LogEvent::kLoadStarted, kInfo, kPlacement, "load_started",
        "The agent ordered the engine to load a model."},
       {LogEvent::kLoadFinished, kInfo, kPlacement, "load_finished",
--- a/source/common/log_event.h
+++ b/source/common/log_event.h
@@ -59,6 +59,7 @@
   kRequestBroken = 208,
   kRequestTimedOut = 209,
   kUnansweredClose = 210,
+  kAcceptPaused = 211,
   kLoadStarted = 300,
   kLoadFinished = 301,
   kLoadFailed = 302,
--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstring>
 #include <optional>
 #include <utility>
 
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr Duration kExpiryCheckPeriod = std::chrono::milliseconds(250);
+constexpr Duration kPauseReportPeriod = std::chrono::seconds(10);
 // After its side is shut down, the server waits this long for the client to
 // close. Closing the socket at once, with unread input, would reset the
 // connection and could lose the last response.
@@ -82,11 +84,15 @@
 }
 
 void HttpServer::AcceptConnections() {
-  while (m_listener >= 0 && m_connections.size() < m_limits.max_connections) {
+  while (m_listener >= 0) {
+    if (m_connections.size() >= m_limits.max_connections)
+      return PauseAccepting("connection limit");
     const int fd =
         accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0)
+    if (fd < 0 && (errno == EAGAIN || errno == EINTR || errno == ECONNABORTED))
       return;
+    if (fd < 0)
+      return PauseAccepting(std::strerror(errno));
     const ConnectionId id = ++m_last_connection_id;
     auto connection = std::make_unique<Connection>();
     connection->id = id;
@@ -104,6 +110,27 @@
   }
 }
 
+void HttpServer::PauseAccepting(const std::string& reason) {
+  if (m_accept_paused)
+    return;
+  m_accept_paused = true;
+  m_loop.RemoveWatch(m_listener);
+  const TimePoint now = ReadBootClock();
+  if (now < m_next_pause_report)
+    return;
+  m_next_pause_report = now + kPauseReportPeriod;
+  if (m_handlers.on_accept_paused)
+    m_handlers.on_accept_paused(reason);
+}
+
+void HttpServer::ResumeAccepting() {
+  if (!m_accept_paused || m_listener < 0)
+    return;
+  m_accept_paused = false;
+  m_loop.Watch(m_listener, EPOLLIN,
+               [this](std::uint32_t) { AcceptConnections(); });
+}
+
 HttpServer::Connection* HttpServer::Find(ConnectionId id) {
   const auto found = m_connections.find(id);
   return found == m_connections.end() ? nullptr : found->second.get();
@@ -361,6 +388,7 @@
   m_loop.Defer(
       [removed = std::shared_ptr<Connection>(std::move(found->second))] {});
   m_connections.erase(found);
+  ResumeAccepting();
 }
 
 bool HttpServer::IsExpired(TimePoint now, const Connection& connection) const {
@@ -403,7 +431,7 @@
     CloseIfExpired(now, id);
   m_expiry_timer = m_loop.StartTimer(now + kExpiryCheckPeriod,
                                      [this] { CloseExpiredConnections(); });
-  AcceptConnections();
+  ResumeAccepting();
 }
 
 }  // namespace boragepick
--- a/source/frontends/http/http_server.h
+++ b/source/frontends/http/http_server.h
@@ -117,6 +117,8 @@
   // The server itself refused a request, with this status.
   std::function<void(unsigned status, ParseError)> on_rejected;
   std::function<void(const UnansweredClose&)> on_unanswered_close;
+  // New connections wait, because of the limit or a failure of accept().
+  std::function<void(const std::string& reason)> on_accept_paused;
 };
 
 class HttpServer {
@@ -142,6 +144,10 @@
   struct Connection;
 
   void AcceptConnections();
+  // The listener stays readable while connections wait, so it isn't watched
+  // until a connection has ended or the next check of expired connections.
+  void PauseAccepting(const std::string& reason);
+  void ResumeAccepting();
   void OnReceived(ConnectionId id);
   void ParseRequest(Connection& connection);
   void DispatchRequest(Connection& connection);
@@ -188,6 +194,9 @@
   ConnectionId m_last_connection_id = 0;
   ExchangeId m_last_exchange_id = 0;
   std::map<ConnectionEnd, std::uint64_t> m_unanswered_closes;
+  bool m_accept_paused = false;
+  // Pauses before this time are not reported again.
+  TimePoint m_next_pause_report = TimePoint{};
   bool m_draining = false;
   bool m_shutting_down = false;
   EventLoop::TimerId m_expiry_timer;
--- a/source/frontends/serving/caller_frontend.h
+++ b/source/frontends/serving/caller_frontend.h
@@ -65,6 +65,11 @@
                   .on_unanswered_close =
                       [this](const UnansweredClose& close) {
                         LogUnansweredClose(close);
+                      },
+                  .on_accept_paused =
+                      [this](const std::string& reason) {
+                        m_callbacks.log({.event = LogEvent::kAcceptPaused,
+                                         .fields = {{"why", reason}}});
                       }}) {}
 
   void Execute(SendResponse effect) {
--- a/source/unit_tests/frontends/http/http_fixture.h
+++ b/source/unit_tests/frontends/http/http_fixture.h
@@ -123,6 +123,10 @@
                        .on_unanswered_close =
                            [this](const UnansweredClose& close) {
                              m_unanswered_closes.push_back(close);
+                           },
+                       .on_accept_paused =
+                           [this](const std::string& reason) {
+                             m_accept_pauses.push_back(reason);
                            }});
   }
 
@@ -131,6 +135,7 @@
   std::unique_ptr<HttpServer> m_server;
   std::vector<ConnectionEnd> m_disconnects;
   std::vector<UnansweredClose> m_unanswered_closes;
+  std::vector<std::string> m_accept_pauses;
 };
 
 }  // namespace boragepick
--- a/source/unit_tests/frontends/http/http_server_test.cc
+++ b/source/unit_tests/frontends/http/http_server_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <time.h>
+
 #include <algorithm>
 #include <memory>
 #include <string>
@@ -207,5 +209,39 @@
   EXPECT_TRUE(m_unanswered_closes.empty());
 }
 
+// At the limit, the listener stays readable; watching it would spin the loop.
+TEST_F(HttpServerTest, DoesNotSpinAtTheConnectionLimit) {
+  ServeEmptyResponses({.max_connections = 1});
+  RawClient first(m_endpoint);
+  ASSERT_TRUE(RunUntil([&] { return m_server->connection_count() == 1; }));
+  RawClient second(m_endpoint);
+  const auto processor_time = [] {
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) +
+           std::chrono::microseconds(time.tv_nsec / 1'000);
+  };
+  const Duration before = processor_time();
+  constexpr Duration kObserved = milliseconds(500);
+  RunFor(kObserved);
+  EXPECT_LT(processor_time() - before, kObserved / 5);
+  EXPECT_EQ(m_accept_pauses, std::vector<std::string>{"connection limit"});
+}
+
+TEST_F(HttpServerTest, AnswersAClientThatWaitedForAPlaceAtTheConnectionLimit) {
+  ServeEmptyResponses({.max_connections = 1});
+  auto first = std::make_unique<RawClient>(m_endpoint);
+  ASSERT_TRUE(RunUntil([&] { return m_server->connection_count() == 1; }));
+  RawClient second(m_endpoint);
+  second.Send(kRequest);
+  RunFor(milliseconds(100));
+  EXPECT_TRUE(second.Received().empty());
+  first.reset();
+  // Sooner than the next check of expired connections.
+  const TimePoint closed_at = ReadBootClock();
+  EXPECT_TRUE(RunUntil([&] { return !second.Received().empty(); }));
+  EXPECT_LT(ReadBootClock() - closed_at, milliseconds(100));
+}
+
 }  // namespace
 }  // namespace boragepick
