Give up a silent stream only after more than a second

Callers saw: streams whose worker paused for a second were cut or begun anew elsewhere. Evidence: before the change KeepsAnAttemptThatPausesForASecond prints Value of: fixture.TakeEffects<CancelAttempt>().empty() Actual: false and the response never ends.

The limit is now at least 1.5 s, twice the latency objective before the first event and four times the gap objective between events: half of what callers wait, so that another worker has the other half to resume. Other repeatable requests are retried as before.

--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -20,11 +20,17 @@
 // Interval of checks of a silent attempt while no other worker could run the
 // request.
 constexpr Duration kSilenceCheckPeriod = std::chrono::milliseconds(200);
-// A repeatable request is sent to another worker when nothing was received for
-// this many times the latency objective of its route, but at least for
-// kMinSilenceTimeout.
+// A repeatable request other than a stream is sent to another worker when
+// nothing was received for this many times the latency objective of its route,
+// but at least for kMinSilenceTimeout.
 constexpr int kSilenceTimeoutInObjectives = 2;
 constexpr Duration kMinSilenceTimeout = std::chrono::milliseconds(250);
+// The same for streams, before their first event and between events. A sound
+// worker may pause a stream for about a second. Callers give up a stream after
+// twice this time, so that another worker has time to resume it.
+constexpr int kStreamSilenceInLatencies = 2;
+constexpr int kStreamSilenceInGaps = 4;
+constexpr Duration kMinStreamSilence = std::chrono::milliseconds(1'500);
 // Response bodies up to this size are buffered and sent whole, so that a failed
 // attempt can still be retried.
 constexpr std::size_t kMaxBufferedBytes = 1 << 20;
@@ -41,6 +47,17 @@
   return status >= 200 && status < 300;
 }
 
+// How long a worker may send nothing before another one is tried.
+Duration SilenceTimeout(const ServingRoute& route, bool body_started) {
+  if (route.kind != RequestKind::kStream)
+    return std::max(kMinSilenceTimeout,
+                    route.target_latency * kSilenceTimeoutInObjectives);
+  return std::max(kMinStreamSilence,
+                  body_started
+                      ? route.target_gap * kStreamSilenceInGaps
+                      : route.target_latency * kStreamSilenceInLatencies);
+}
+
 }  // namespace
 
 WorkerChoiceInput RequestTable::MakeChoiceInput(
@@ -214,12 +231,8 @@
   exchange.attempt->last_progress = now;
   if (!exchange.route->IsRepeatable())
     return ScheduleCheck(exchange, exchange.deadline);
-  const Duration objective = exchange.attempt->body_started
-                                 ? exchange.route->target_gap
-                                 : exchange.route->target_latency;
-  ScheduleCheck(exchange,
-                now + std::max(kMinSilenceTimeout,
-                               objective * kSilenceTimeoutInObjectives));
+  ScheduleCheck(exchange, now + SilenceTimeout(*exchange.route,
+                                               exchange.attempt->body_started));
 }
 
 void RequestTable::CloseAttempt(Exchange& exchange) {
@@ -532,12 +545,9 @@
   if (!exchange.route->IsRepeatable())
     return ScheduleCheck(exchange, exchange.deadline);
   const Attempt& attempt = *exchange.attempt;
-  const Duration objective = attempt.body_started
-                                 ? exchange.route->target_gap
-                                 : exchange.route->target_latency;
   const TimePoint silent_at =
       attempt.last_progress +
-      std::max(kMinSilenceTimeout, objective * kSilenceTimeoutInObjectives);
+      SilenceTimeout(*exchange.route, attempt.body_started);
   if (now < silent_at)
     return ScheduleCheck(exchange, silent_at);
   // Without a possible retry, a slow response is better than none, so the
