Give up a silent attempt only if the retry budget allows it

Callers saw: responses cut, or refused with 502, whose worker was silent for a while. Cause: CheckProgress asked whether a retry was possible, but not the retry budget; once the attempt was cancelled and the budget spent, a stream that had begun was aborted and another request refused, although the worker would have gone on. Before the change: KeepsASilentAttemptIfTheRetryBudgetIsSpent: Value of: WasAborted(fixture) Actual: true DoesNotRefuseASilentRequestIfTheRetryBudgetIsSpent: Value of: fixture.TakeEffects<RefuseRequest>().empty() Actual: false The attempt now continues until the budget allows two retries: one, and one for a rejection by the next worker.

--- a/source/core/scheduling/retry_budget.h
+++ b/source/core/scheduling/retry_budget.h
@@ -36,6 +36,8 @@
         std::min(m_balance + m_options.retry_ratio, m_options.max_balance);
   }
 
+  bool Allows(double retries) const { return m_balance >= retries; }
+
   // Spends one retry; returns false if the budget has none left.
   bool TryConsume() {
     if (m_balance < 1)
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -18,7 +18,7 @@
 // give up a stream after a gap of two seconds or more.
 constexpr Duration kMaxResumeHold = std::chrono::milliseconds(1'800);
 // Interval of checks of a silent attempt while no other worker could run the
-// request.
+// request, or the retry budget is spent.
 constexpr Duration kSilenceCheckPeriod = std::chrono::milliseconds(200);
 // A repeatable request other than a stream is sent to another worker when
 // nothing was received for this many times the latency objective of its route,
@@ -31,6 +31,9 @@
 constexpr int kStreamSilenceInLatencies = 2;
 constexpr int kStreamSilenceInGaps = 4;
 constexpr Duration kMinStreamSilence = std::chrono::milliseconds(1'500);
+// Retries that the budget must allow for a silent attempt to be given up: one,
+// and one more in case the next worker rejects the request.
+constexpr double kSilenceRetries = 2;
 // Response bodies up to this size are buffered and sent whole, so that a failed
 // attempt can still be retried.
 constexpr std::size_t kMaxBufferedBytes = 1 << 20;
@@ -554,7 +557,8 @@
   // attempt continues.
   if (!CanRetry(now, exchange, /*has_run=*/true))
     return ScheduleCheck(exchange, exchange.deadline);
-  if (!HasOtherWorker(now, exchange))
+  if (!RetryBudgetFor(exchange.service).Allows(kSilenceRetries) ||
+      !HasOtherWorker(now, exchange))
     return ScheduleCheck(exchange, now + kSilenceCheckPeriod);
   HandleAttemptFailure(now, exchange, "silent");
 }
--- a/source/unit_tests/core/serving/serving_silence_test.cc
+++ b/source/unit_tests/core/serving/serving_silence_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "unit_tests/core/serving/serving_fixture.h"
 
 namespace boragepick {
@@ -31,6 +33,11 @@
     fixture.RespondEvent(sent[0].attempt, 1);
     return sent[0];
   }
+  bool WasAborted(ServingFixture& fixture) const {
+    return std::ranges::any_of(
+        fixture.TakeEffects<AbortResponse>(),
+        [this](const AbortResponse& abort) { return abort.id == m_request; });
+  }
   RequestId m_request = 0;
 };
 
@@ -45,5 +52,28 @@
   EXPECT_EQ(fixture.TakeEffects<EndResponse>().size(), 1U);
 }
 
+TEST_F(ServingSilence, KeepsASilentAttemptIfTheRetryBudgetIsSpent) {
+  ServingFixture fixture(OptionsWithRetries(0));
+  fixture.Start();
+  const SendAttempt sent = BeginStream(fixture);
+  fixture.Advance(seconds(3));
+  EXPECT_FALSE(WasAborted(fixture));
+  fixture.RespondEvent(sent.attempt, 2);
+  fixture.Handle(AttemptCompleted{.attempt = sent.attempt});
+  EXPECT_EQ(fixture.TakeEffects<EndResponse>().size(), 1U);
+}
+
+TEST_F(ServingSilence, DoesNotRefuseASilentRequestIfTheRetryBudgetIsSpent) {
+  ServingFixture fixture(OptionsWithRetries(0));
+  fixture.Start();
+  fixture.ReceiveRequest("/read/1");
+  const auto sent = fixture.TakeEffects<SendAttempt>();
+  fixture.Advance(milliseconds(500));
+  EXPECT_TRUE(fixture.TakeEffects<RefuseRequest>().empty());
+  fixture.RespondHead(sent[0].attempt);
+  fixture.Handle(AttemptCompleted{.attempt = sent[0].attempt});
+  EXPECT_EQ(fixture.TakeEffects<SendResponse>().size(), 1U);
+}
+
 }  // namespace
 }  // namespace boragepick
