Hold a silent stream that no other worker takes until its deadline

Callers saw: a stream that had begun was cut, though its worker had not failed. Cause: after a silent attempt was given up, a rejection by the next worker with the retry budget spent aborted the response at once (workers full), and without a worker it was aborted after 1.8 s; silence thereby ended the response sooner than its caller would have. Before the change HoldsASilentStreamThatTheNextWorkerRejects, HoldsARejectedSilentStreamUntilTheBudgetAllowsARetry and AbortsAHeldSilentStreamAtItsDeadline print Value of: WasAborted(fixture) Actual: true Expected: false Such a stream is now held until a worker and the budget allow its resumption, at most until its deadline. A stream whose worker broke off is held for 1.8 s as before.

--- a/source/core/serving/exchange.h
+++ b/source/core/serving/exchange.h
@@ -98,6 +98,10 @@
   // Ended attempts that may have run, and all attempts sent.
   std::uint32_t possible_runs = 0;
   std::uint32_t attempts_sent = 0;
+  // The last run was given up because its worker was silent.
+  bool last_run_was_silent = false;
+  // The next attempt waits until the retry budget allows it.
+  bool awaits_retry_budget = false;
   // Workers that failed or rejected this request.
   std::set<std::string> tried_workers;
 
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -89,6 +89,13 @@
       return Abort(now, exchange, "breaks workers");
     return Refuse(now, exchange, ServingRefusal::kBreaksWorkers);
   }
+  if (exchange.awaits_retry_budget) {
+    exchange.awaits_retry_budget =
+        exchange.attempts_sent >= kMaxAttempts ||
+        !RetryBudgetFor(exchange.service).TryConsume();
+    if (exchange.awaits_retry_budget)
+      return Hold(now, exchange, "no_retry_budget");
+  }
   const ServingService* service = m_state.config->FindService(exchange.service);
   std::vector<Worker*> workers = UsableWorkers(now, exchange.service);
   if (service == nullptr || workers.empty())
@@ -165,9 +172,11 @@
   exchange.stage = ExchangeStage::kHeld;
   if (m_held.insert(exchange.request->id).second)
     ++m_held_by_weights[exchange.weights];
-  const TimePoint limit = exchange.head_sent
-                              ? exchange.held_since + kMaxResumeHold
-                              : exchange.arrived + HoldLimit(exchange);
+  TimePoint limit = exchange.arrived + HoldLimit(exchange);
+  if (exchange.head_sent)
+    // Silence is no reason to end a response before its caller does.
+    limit = exchange.last_run_was_silent ? exchange.deadline
+                                         : exchange.held_since + kMaxResumeHold;
   if (now >= limit) {
     if (exchange.head_sent)
       return Abort(now, exchange, reason);
@@ -464,6 +473,10 @@
   // The rejected attempt is closed already.
   const bool can_retry = exchange.attempts_sent < kMaxAttempts &&
                          RetryBudgetFor(exchange.service).TryConsume();
+  if (!can_retry && exchange.head_sent && exchange.last_run_was_silent) {
+    exchange.awaits_retry_budget = true;
+    return Hold(now, exchange, "workers_full");
+  }
   if (!can_retry) {
     if (exchange.head_sent)
       return Abort(now, exchange, "workers full");
@@ -488,9 +501,9 @@
          exchange.deadline - now > kMinAttemptTime;
 }
 
-void RequestTable::HandleAttemptFailure(TimePoint now,
-                                        Exchange& exchange,
-                                        const std::string& reason) {
+void RequestTable::GiveUpAttempt(TimePoint now,
+                                 Exchange& exchange,
+                                 const std::string& reason) {
   Worker* worker = m_state.workers.Find(exchange.attempt->worker);
   if (worker != nullptr) {
     m_state.workers.RecordFailure(now, *worker);
@@ -502,6 +515,13 @@
   }
   exchange.tried_workers.insert(exchange.attempt->worker);
   CancelCurrentAttempt(exchange);
+}
+
+void RequestTable::HandleAttemptFailure(TimePoint now,
+                                        Exchange& exchange,
+                                        const std::string& reason) {
+  GiveUpAttempt(now, exchange, reason);
+  exchange.last_run_was_silent = false;
   const bool can_retry = exchange.route->IsRepeatable() &&
                          CanRetry(now, exchange, /*has_run=*/true) &&
                          RetryBudgetFor(exchange.service).TryConsume();
@@ -557,10 +577,14 @@
   // attempt continues.
   if (!CanRetry(now, exchange, /*has_run=*/true))
     return ScheduleCheck(exchange, exchange.deadline);
-  if (!RetryBudgetFor(exchange.service).Allows(kSilenceRetries) ||
-      !HasOtherWorker(now, exchange))
+  RetryBudget& budget = RetryBudgetFor(exchange.service);
+  if (!budget.Allows(kSilenceRetries) || !HasOtherWorker(now, exchange))
     return ScheduleCheck(exchange, now + kSilenceCheckPeriod);
-  HandleAttemptFailure(now, exchange, "silent");
+  budget.TryConsume();
+  GiveUpAttempt(now, exchange, "silent");
+  ++exchange.possible_runs;
+  exchange.last_run_was_silent = true;
+  Retry(now, exchange, "silent");
 }
 
 }  // namespace boragepick
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -144,6 +144,10 @@
   void HandleAttemptFailure(TimePoint now,
                             Exchange& exchange,
                             const std::string& reason);
+  // Cancels the current attempt and avoids its worker.
+  void GiveUpAttempt(TimePoint now,
+                     Exchange& exchange,
+                     const std::string& reason);
   void RecordSuspectedCrash(TimePoint now, const Exchange& exchange);
   void RecordProgress(TimePoint now, Exchange& exchange);
   bool CanRetry(TimePoint now, const Exchange& exchange, bool has_run) const;
--- a/source/unit_tests/core/serving/serving_silence_test.cc
+++ b/source/unit_tests/core/serving/serving_silence_test.cc
@@ -38,6 +38,11 @@
         fixture.TakeEffects<AbortResponse>(),
         [this](const AbortResponse& abort) { return abort.id == m_request; });
   }
+  static void Reject(ServingFixture& fixture, AttemptNumber attempt) {
+    fixture.Handle(AttemptHeadReceived{
+        .attempt = attempt, .head = {.status = 503, .not_executed = true}});
+  }
+
   RequestId m_request = 0;
 };
 
@@ -75,5 +80,69 @@
   EXPECT_EQ(fixture.TakeEffects<SendResponse>().size(), 1U);
 }
 
+// The worker that would take a silent stream over may be full.
+TEST_F(ServingSilence, HoldsASilentStreamThatTheNextWorkerRejects) {
+  ServingFixture fixture(OptionsWithRetries(50));
+  fixture.Start();
+  BeginStream(fixture);
+  fixture.Advance(milliseconds(2'000));
+  const auto second = fixture.TakeEffects<SendAttempt>();
+  ASSERT_EQ(second.size(), 1U);
+  Reject(fixture, second[0].attempt);
+  fixture.Advance(milliseconds(2'500));
+  EXPECT_FALSE(WasAborted(fixture));
+  fixture.Handle(WorkerListed{.entry = EngineWorker("w3", {"m1"})});
+  const auto third = fixture.TakeEffects<SendAttempt>();
+  ASSERT_EQ(third.size(), 1U);
+  EXPECT_EQ(third[0].resume_after, 1U);
+  fixture.RespondHead(third[0].attempt);
+  fixture.RespondEvent(third[0].attempt, 2);
+  fixture.Handle(AttemptCompleted{.attempt = third[0].attempt});
+  EXPECT_EQ(fixture.TakeEffects<EndResponse>().size(), 1U);
+}
+
+// The retries of other requests may spend the budget in the meantime.
+TEST_F(ServingSilence, HoldsARejectedSilentStreamUntilTheBudgetAllowsARetry) {
+  ServingFixture fixture(OptionsWithRetries(50));
+  fixture.Start();
+  fixture.Handle(WorkerListed{.entry = EngineWorker("w3", {"m1"})});
+  BeginStream(fixture);
+  fixture.Advance(milliseconds(2'000));
+  const auto second = fixture.TakeEffects<SendAttempt>();
+  ASSERT_EQ(second.size(), 1U);
+  for (int i = 0; i < 40; ++i) {
+    fixture.ReceiveRequest("/review/1", "m1");
+    Reject(fixture, fixture.TakeEffects<SendAttempt>()[0].attempt);
+    for (const SendAttempt& retry : fixture.TakeEffects<SendAttempt>())
+      Reject(fixture, retry.attempt);
+    fixture.TakeEffects<SendAttempt>();
+  }
+  Reject(fixture, second[0].attempt);
+  EXPECT_FALSE(WasAborted(fixture));
+  // First attempts earn retries.
+  for (int i = 0; i < 20; ++i)
+    fixture.ReceiveRequest("/review/1", "m2");
+  fixture.effects.clear();
+  fixture.Advance(milliseconds(200));
+  const auto third = fixture.TakeEffects<SendAttempt>();
+  EXPECT_TRUE(std::ranges::any_of(third, [this](const SendAttempt& sent) {
+    return sent.request->id == m_request;
+  }));
+}
+
+TEST_F(ServingSilence, AbortsAHeldSilentStreamAtItsDeadline) {
+  ServingFixture fixture(OptionsWithRetries(50));
+  fixture.Start();
+  BeginStream(fixture);
+  fixture.Advance(milliseconds(2'000));
+  const auto second = fixture.TakeEffects<SendAttempt>();
+  ASSERT_EQ(second.size(), 1U);
+  Reject(fixture, second[0].attempt);
+  fixture.Advance(seconds(7));
+  EXPECT_FALSE(WasAborted(fixture));
+  fixture.Advance(seconds(2));
+  EXPECT_TRUE(WasAborted(fixture));
+}
+
 }  // namespace
 }  // namespace boragepick
