Complete a response that has begun under its own configuration

Callers saw: beside a change of the configuration a stream was cut, or went on at another service, or got events twice. Cause: a stream to be resumed was resolved again with the newest configuration. With the route or key gone it was aborted, with the route moved it was resumed at a worker of the new service, with its kind changed its bytes were no longer handled as events, and a lower time-out ended it. A request without a response follows the newest configuration as before, so a revoked key still stops it (RefusesAHeldRequestWhenItsKeyIsRevoked).

--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -71,12 +71,9 @@
 }
 
 void RequestTable::Dispatch(TimePoint now, Exchange& exchange) {
-  if (exchange.config != m_state.config) {
-    const std::string service = exchange.service;
-    const auto refusal = ResolveRoute(now, exchange);
-    if (refusal && exchange.head_sent)
-      return Abort(now, exchange, "route or key no longer valid");
-    if (refusal)
+  // A response that has begun is completed under its own configuration.
+  if (exchange.config != m_state.config && !exchange.head_sent) {
+    if (const auto refusal = ResolveRoute(now, exchange))
       return Refuse(now, exchange, *refusal);
     exchange.deadline =
         std::min(exchange.deadline, exchange.arrived + exchange.route->timeout);
@@ -96,8 +93,9 @@
     if (exchange.awaits_retry_budget)
       return Hold(now, exchange, "no_retry_budget");
   }
-  const ServingService* service = m_state.config->FindService(exchange.service);
-  std::vector<Worker*> workers = UsableWorkers(now, exchange.service);
+  const ServingService* service =
+      exchange.config->FindService(exchange.service);
+  std::vector<Worker*> workers = UsableWorkers(now, exchange);
   if (service == nullptr || workers.empty())
     return Hold(now, exchange, "no_worker");
   if (service->engine && !exchange.weights.empty())
@@ -114,9 +112,10 @@
 }
 
 std::vector<Worker*> RequestTable::UsableWorkers(TimePoint now,
-                                                 const std::string& service) {
-  std::vector<Worker*> workers = m_state.workers.FindByService(service);
-  const std::uint32_t limit = ConnectionLimit(service);
+                                                 const Exchange& exchange) {
+  std::vector<Worker*> workers =
+      m_state.workers.FindByService(exchange.service);
+  const std::uint32_t limit = ConnectionLimit(exchange);
   std::erase_if(workers, [now, limit](const Worker* worker) {
     return !worker->IsUsable(now) || worker->running >= limit;
   });
@@ -131,8 +130,8 @@
   return workers;
 }
 
-std::uint32_t RequestTable::ConnectionLimit(const std::string& service) const {
-  const ServingService* spec = m_state.config->FindService(service);
+std::uint32_t RequestTable::ConnectionLimit(const Exchange& exchange) const {
+  const ServingService* spec = exchange.config->FindService(exchange.service);
   if (spec == nullptr)
     return 0;
   const auto routers = static_cast<double>(
@@ -555,7 +554,7 @@
 
 bool RequestTable::HasOtherWorker(TimePoint now, const Exchange& exchange) {
   const ServingRequest& request = *exchange.request;
-  const std::vector<Worker*> workers = UsableWorkers(now, exchange.service);
+  const std::vector<Worker*> workers = UsableWorkers(now, exchange);
   return std::ranges::any_of(workers, [&](const Worker* worker) {
     return worker->entry.id != exchange.attempt->worker &&
            !exchange.tried_workers.contains(worker->entry.id) &&
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -116,10 +116,10 @@
                    const std::vector<Worker*>& workers,
                    const LoadTarget& target,
                    const std::string& requester);
-  // How many connections this router may have to one worker of the service. A
-  // worker resets connections beyond its limit for all routers.
-  std::uint32_t ConnectionLimit(const std::string& service) const;
-  std::vector<Worker*> UsableWorkers(TimePoint now, const std::string& service);
+  // How many connections this router may have to one worker of the request's
+  // service. A worker resets connections beyond its limit for all routers.
+  std::uint32_t ConnectionLimit(const Exchange& exchange) const;
+  std::vector<Worker*> UsableWorkers(TimePoint now, const Exchange& exchange);
   // Workers that are not draining. Workers in backoff are included, since they
   // can still load weights.
   std::vector<Worker*> ReadyWorkers(const std::string& service);
