Don't repeat a run whose route no longer allows it

Cause: a request whose run had failed was resolved again with the newest configuration before its retry; where that made the route one whose requests run at most once, the request was sent a second time. Before the change the new test DoesNotRepeatARunThatMayNoLongerBeRepeated prints Value of: m_fixture.TakeEffects<SendAttempt>().empty() Actual: false Such a request is now refused with 502.

--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -75,6 +75,8 @@
   if (exchange.config != m_state.config && !exchange.head_sent) {
     if (const auto refusal = ResolveRoute(now, exchange))
       return Refuse(now, exchange, *refusal);
+    if (exchange.possible_runs > 0 && !exchange.route->IsRepeatable())
+      return Refuse(now, exchange, ServingRefusal::kWorkerFailed);
     exchange.deadline =
         std::min(exchange.deadline, exchange.arrived + exchange.route->timeout);
   }
--- a/source/unit_tests/core/serving/serving_config_change_test.cc
+++ b/source/unit_tests/core/serving/serving_config_change_test.cc
@@ -130,5 +130,18 @@
   EXPECT_EQ(sent[0].worker, "w7");
 }
 
+TEST_F(ServingConfigChange, DoesNotRepeatARunThatMayNoLongerBeRepeated) {
+  const RequestId id = m_fixture.ReceiveRequest("/ask/1", "m1");
+  const auto sent = m_fixture.TakeEffects<SendAttempt>();
+  Change([](ServingConfig& config) { config.routes[0].resumable = false; });
+  m_fixture.Handle(AttemptFailed{.attempt = sent[0].attempt,
+                                 .failure = AttemptFailure::kReset});
+  EXPECT_TRUE(m_fixture.TakeEffects<SendAttempt>().empty());
+  const auto refused = m_fixture.TakeEffects<RefuseRequest>();
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].id, id);
+  EXPECT_EQ(refused[0].status, 502U);
+}
+
 }  // namespace
 }  // namespace boragepick
