Check that neither silence nor a configuration aborts a stream

The history property had workers that fail or never respond, and one configuration. It now also has workers that pause for up to 1.3 s and go on or fall silent inside a response, and changes of routes, keys, services and time-outs in between. A stream may be aborted only if a worker failed it or its time was over. Requests have targets of their own, since with one target for all the quarantine convicts sound ones.

--- a/source/unit_tests/core/serving/serving_history_test.cc
+++ b/source/unit_tests/core/serving/serving_history_test.cc
@@ -1,6 +1,7 @@
-// Property test with random requests and worker failures: a non-idempotent
-// request runs at most once, a refusal that guarantees no run is correct, and a
-// stream is complete or visibly aborted.
+// Property test with random requests, worker failures, pauses and changes of
+// the configuration: a non-idempotent request runs at most once, a refusal that
+// guarantees no run is correct, a stream is complete or visibly aborted, and
+// neither silence nor a change of the configuration aborts it.
 
 #include <gtest/gtest.h>
 
@@ -9,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 
 #include "common/random.h"
 #include "unit_tests/core/serving/serving_fixture.h"
@@ -25,18 +27,28 @@
   kResetBeforeResponse,
   kResetDuringResponse,
   kSilent,
-  kError
+  kError,
+  // Begins its response, sends nothing for a while and completes it.
+  kPause,
+  // Begins its response and sends nothing more.
+  kSilentDuringResponse
 };
-constexpr std::uint64_t kBehaviourCount = 6;
+constexpr std::uint64_t kBehaviourCount = 8;
 constexpr int kEvents = 5;
+constexpr Duration kMaxPause = milliseconds(1'300);
+constexpr Duration kMinTimeout = milliseconds(8'000);
 
 struct Outcome {
   bool repeatable = false;
   bool stream = false;
   int runs = 0;
+  TimePoint arrived;
+  // A worker reset the connection or responded with an error.
+  bool worker_failed = false;
+  // When the response was aborted.
+  std::optional<TimePoint> aborted_at;
   std::optional<unsigned> refused;
   bool ended = false;
-  bool aborted = false;
   std::string body;
 };
 
@@ -48,20 +60,19 @@
 
   void Run(int requests) {
     for (int i = 0; i < requests; ++i) {
+      if (m_random.Below(5) == 0)
+        ChangeConfig();
       SendRandomRequest();
       HandleEffects();
-      m_fixture.Advance(milliseconds(m_random.Below(40)));
-      HandleEffects();
-    }
-    for (int i = 0; i < 400; ++i) {
-      m_fixture.Advance(milliseconds(50));
-      HandleEffects();
+      Advance(milliseconds(m_random.Below(40)));
     }
+    for (int i = 0; i < 400; ++i)
+      Advance(milliseconds(50));
   }
 
   void Check() const {
     for (const auto& [id, outcome] : m_outcomes) {
-      RC_ASSERT(outcome.ended || outcome.aborted || outcome.refused);
+      RC_ASSERT(outcome.ended || outcome.aborted_at || outcome.refused);
       if (!outcome.repeatable)
         RC_ASSERT(outcome.runs <= 1);
       const bool promises = outcome.refused == 429U || outcome.refused == 503U;
@@ -70,6 +81,8 @@
       if (outcome.stream && outcome.ended)
         RC_ASSERT(outcome.body == CompleteBody());
       RC_ASSERT(CompleteBody().starts_with(outcome.body) || !outcome.stream);
+      if (outcome.aborted_at && !outcome.worker_failed)
+        RC_ASSERT(*outcome.aborted_at - outcome.arrived >= kMinTimeout);
     }
     RC_ASSERT(OpenRequests() == 0U);
   }
@@ -88,6 +101,48 @@
     return m_fixture.router().requests().open();
   }
 
+  void Advance(Duration duration) {
+    m_fixture.Advance(duration);
+    HandleEffects();
+    while (!m_pauses.empty() && m_pauses.begin()->first <= m_fixture.now) {
+      const SendAttempt sent = std::move(m_pauses.begin()->second);
+      m_pauses.erase(m_pauses.begin());
+      FinishResponse(sent, /*first_event=*/2);
+      HandleEffects();
+    }
+  }
+
+  // Each change keeps some routes and the key, so that most requests are
+  // admitted.
+  void ChangeConfig() {
+    ServingConfig config = SmallConfig();
+    config.version = ++m_version;
+    ServingRoute& route = config.routes[m_random.Below(config.routes.size())];
+    switch (m_random.Below(6)) {
+      case 0:
+        config.routes.erase(config.routes.begin());
+        break;
+      case 1:
+        config.teams["team"].key_sha256 = {"new"};
+        break;
+      case 2:
+        route.splits = {{.service = "plain"}};
+        break;
+      case 3:
+        route.timeout = kMinTimeout;
+        break;
+      case 4:
+        config.limits.idle_timeout = milliseconds(500);
+        break;
+      default:
+        break;
+    }
+    m_fixture.Handle(ConfigReceived{
+        .config = std::make_shared<const ConfigIndex>(std::move(config))});
+    m_fixture.ConfirmConfig();
+    HandleEffects();
+  }
+
   void SendRandomRequest() {
     struct Kind {
       const char* path;
@@ -95,12 +150,15 @@
       bool repeatable;
       bool stream;
     };
-    static constexpr Kind kKinds[] = {{"/ask/1", "m1", true, true},
-                                      {"/review/1", "m1", false, true},
-                                      {"/book/1", "", false, false},
-                                      {"/read/1", "", true, false}};
+    static constexpr Kind kKinds[] = {{"/ask/", "m1", true, true},
+                                      {"/review/", "m1", false, true},
+                                      {"/book/", "", false, false},
+                                      {"/read/", "", true, false}};
     const Kind& kind = kKinds[m_random.Below(4)];
-    const RequestId id = m_fixture.ReceiveRequest(kind.path, kind.model);
+    // Requests differ, or those that crash workers would convict the others.
+    const RequestId id = m_fixture.ReceiveRequest(
+        kind.path + std::to_string(m_outcomes.size()), kind.model);
+    m_outcomes[id].arrived = m_fixture.now;
     m_outcomes[id].repeatable = kind.repeatable;
     m_outcomes[id].stream = kind.stream;
   }
@@ -126,6 +184,7 @@
         return;
       case WorkerBehaviour::kResetBeforeResponse:
         ++outcome.runs;
+        outcome.worker_failed = true;
         m_fixture.Handle(AttemptFailed{.attempt = sent.attempt,
                                        .failure = AttemptFailure::kReset});
         return;
@@ -134,6 +193,7 @@
         return;
       case WorkerBehaviour::kError:
         ++outcome.runs;
+        outcome.worker_failed = true;
         m_fixture.RespondHead(sent.attempt, 500);
         m_fixture.Handle(AttemptCompleted{.attempt = sent.attempt});
         return;
@@ -142,9 +202,44 @@
         ++outcome.runs;
         Respond(sent, behaviour == WorkerBehaviour::kComplete);
         return;
+      case WorkerBehaviour::kPause:
+        ++outcome.runs;
+        BeginResponse(sent);
+        m_pauses.emplace(m_fixture.now + milliseconds(m_random.Below(
+                                             ToMilliseconds(kMaxPause))),
+                         sent);
+        return;
+      case WorkerBehaviour::kSilentDuringResponse:
+        ++outcome.runs;
+        BeginResponse(sent);
+        return;
     }
   }
 
+  static std::uint64_t ToMilliseconds(Duration duration) {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(duration).count());
+  }
+  static int FirstEvent(const SendAttempt& sent) {
+    return static_cast<int>(sent.resume_after.value_or(0)) + 1;
+  }
+
+  void BeginResponse(const SendAttempt& sent) {
+    m_fixture.RespondHead(sent.attempt);
+    if (m_outcomes.at(sent.request->id).stream)
+      m_fixture.RespondEvent(sent.attempt, FirstEvent(sent));
+  }
+
+  // Sends the events of a response from the given one on, counted from the
+  // first of this run.
+  void FinishResponse(const SendAttempt& sent, int first_event) {
+    if (m_outcomes.at(sent.request->id).stream) {
+      for (int id = FirstEvent(sent) + first_event - 1; id <= kEvents; ++id)
+        m_fixture.RespondEvent(sent.attempt, id);
+    }
+    m_fixture.Handle(AttemptCompleted{.attempt = sent.attempt});
+  }
+
   void Respond(const SendAttempt& sent, bool complete) {
     m_fixture.RespondHead(sent.attempt);
     if (!m_outcomes.at(sent.request->id).stream) {
@@ -157,11 +252,13 @@
       for (int id = first; id <= std::min(last, kEvents); ++id)
         m_fixture.RespondEvent(sent.attempt, id);
     }
-    if (complete)
+    if (complete) {
       m_fixture.Handle(AttemptCompleted{.attempt = sent.attempt});
-    else
-      m_fixture.Handle(AttemptFailed{.attempt = sent.attempt,
-                                     .failure = AttemptFailure::kReset});
+      return;
+    }
+    m_outcomes.at(sent.request->id).worker_failed = true;
+    m_fixture.Handle(AttemptFailed{.attempt = sent.attempt,
+                                   .failure = AttemptFailure::kReset});
   }
 
   void On(const RefuseRequest& refused) {
@@ -179,7 +276,7 @@
   }
   void On(const EndResponse& end) { m_outcomes.at(end.id).ended = true; }
   void On(const AbortResponse& abort) {
-    m_outcomes.at(abort.id).aborted = true;
+    m_outcomes.at(abort.id).aborted_at = m_fixture.now;
   }
   template <typename Other>
   void On(const Other&) {}
@@ -187,6 +284,9 @@
   ServingFixture m_fixture;
   Random m_random;
   std::map<RequestId, Outcome> m_outcomes;
+  // Paused responses by the time at which they go on.
+  std::multimap<TimePoint, SendAttempt> m_pauses;
+  std::uint64_t m_version = 1;
 };
 
 RC_GTEST_PROP(ServingHistory, ResponsesAreCompleteAndRefusalsCorrect, ()) {
