Fail a call whose response on a reused connection bears no request id

What callers saw: "not run, try again" for a request that a worker had run, if the worker repeated an earlier refusal without the request's id on a kept connection.

Cause: HttpClient discards a response that echoes another id, but took one without an id for the response to its call. On a reused connection it may as well belong to the call before, so it now fails the call as malformed (sent, may have run). The first response on a new connection can only belong to its call and is accepted as before.

HttpTest.ReusesTheConnectionForSequentialCalls named an echo field that its server never sent; the server now sends it, and the test's expectations are unchanged.

--- a/source/frontends/http/http_client.cc
+++ b/source/frontends/http/http_client.cc
@@ -243,6 +243,10 @@
         connection.echo_name.empty()
             ? nullptr
             : FindField(head.fields, connection.echo_name);
+    const bool unidentified =
+        echo == nullptr && connection.reused && !connection.echo_name.empty();
+    if (unidentified)
+      return FailCall(connection, CallFailure::kMalformed);
     connection.stale_response =
         echo != nullptr && *echo != connection.echo_value;
     if (!connection.stale_response) {
--- a/source/frontends/http/http_client.h
+++ b/source/frontends/http/http_client.h
@@ -39,7 +39,9 @@
   // Limit on the duration of the call; Duration::max() for none.
   Duration timeout = Duration::max();
   // A response whose header field `echo_name` has another value than
-  // `echo_value` belongs to an earlier call and is discarded.
+  // `echo_value` belongs to an earlier call and is discarded. On a reused
+  // connection a response without the field fails the call, since it may belong
+  // to either.
   std::string echo_name;
   std::string echo_value;
 };
@@ -123,6 +125,7 @@
   // Parses the buffered input. Returns false if the call has ended; the
   // connection may have been closed then.
   bool ParseResponse(Connection& connection);
+  // Fails the call if the response can't be attributed to it.
   void DeliverResponse(Connection& connection);
   void CompleteCall(Connection& connection);
   void FailCall(Connection& connection, CallFailure failure);
--- a/source/unit_tests/frontends/http/http_test.cc
+++ b/source/unit_tests/frontends/http/http_test.cc
@@ -151,8 +151,12 @@
 };
 
 TEST_F(HttpTest, ReusesTheConnectionForSequentialCalls) {
-  Serve({}, [this](ExchangeId id, HttpMessage message) {
-    m_server->Post(SendHttpResponse{.id = id, .body = message.body + "!"});
+  int calls = 0;
+  Serve({}, [&](ExchangeId id, HttpMessage message) {
+    m_server->Post(
+        SendHttpResponse{.id = id,
+                         .fields = {{"Echo", std::to_string(++calls)}},
+                         .body = message.body + "!"});
   });
   for (int i = 0; i < 5; ++i) {
     const CallId id = StartPost("body");
