Send a request to the same worker again only over a new connection

What callers saw: "not run, try again" for a request that a worker was running, if the worker had refused it, got it once more on the kept connection, and wrote its refusal a second time.

Cause: the echoed id distinguishes requests, but not two attempts of one. The router sends a refused request to the same worker if no other is left, or after a 421 when the model is loaded there. The core now notes which workers a request was sent to and asks for a new connection for a further attempt, on which no earlier response can arrive. HttpClient took a connection that was returned in the same microsecond for max_idle zero; a new connection now means a new one.

--- a/source/core/serving/exchange.h
+++ b/source/core/serving/exchange.h
@@ -104,6 +104,8 @@
   bool awaits_retry_budget = false;
   // Workers that failed or rejected this request.
   std::set<std::string> tried_workers;
+  // Workers that this request was sent to.
+  std::set<std::string> contacted_workers;
 
   // Whether the response head was sent to the caller.
   bool head_sent = false;
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -228,6 +228,8 @@
                {"send", std::to_string(exchange.attempts_sent)},
                {"after_ms", FormatMilliseconds(now - exchange.arrived)}});
   const bool repeatable = exchange.route->IsRepeatable();
+  const bool first_contact =
+      exchange.contacted_workers.insert(worker.entry.id).second;
   m_state.Emit(SendAttempt{.attempt = attempt.number,
                            .request = exchange.request,
                            .worker = worker.entry.id,
@@ -236,7 +238,8 @@
                            .time_left = left,
                            .urgency = exchange.urgency,
                            .resume_after = exchange.last_delivered_event,
-                           .repeatable = repeatable});
+                           .repeatable = repeatable,
+                           .new_connection = !first_contact});
   RecordProgress(now, exchange);
 }
 
--- a/source/core/serving/serving_messages.h
+++ b/source/core/serving/serving_messages.h
@@ -118,6 +118,9 @@
   // Whether the request may be sent again after a lost connection. If not, a
   // reused connection that may have gone stale must be avoided.
   bool repeatable = false;
+  // The worker may repeat its response to an earlier attempt of this request,
+  // which bears the same id, so that attempt's connection must not be used.
+  bool new_connection = false;
 };
 struct CancelAttempt {
   AttemptNumber attempt = 0;
--- a/source/frontends/http/http_client.cc
+++ b/source/frontends/http/http_client.cc
@@ -116,7 +116,7 @@
       continue;
     }
     // The remaining ones have been idle for longer.
-    if (age > call.max_idle)
+    if (age >= call.max_idle)
       return nullptr;
     idle.pop_back();
     return connection;
--- a/source/frontends/serving/upstream_task.h
+++ b/source/frontends/serving/upstream_task.h
@@ -40,9 +40,7 @@
                             .pool = effect.worker,
                             .request = Codec::EncodeAttempt(effect),
                             .head_request = effect.request->method == "HEAD",
-                            .max_idle = effect.repeatable
-                                            ? kMaxIdleForRepeatable
-                                            : kMaxIdleForNonRepeatable,
+                            .max_idle = MaxIdle(effect),
                             .connect_timeout = kUpstreamConnectTimeout,
                             .echo_name = Codec::RequestIdHeader(),
                             .echo_value = effect.request->trace_id});
@@ -59,6 +57,12 @@
   }
 
  private:
+  static Duration MaxIdle(const SendAttempt& effect) {
+    if (effect.new_connection)
+      return Duration::zero();
+    return effect.repeatable ? kMaxIdleForRepeatable : kMaxIdleForNonRepeatable;
+  }
+
   void Handle(CallHeadReceived event) {
     m_callback(AttemptHeadReceived{
         .attempt = event.id, .head = Codec::DecodeUpstreamHead(event.head)});
--- /dev/null
+++ b/source/unit_tests/core/serving/serving_responses_test.cc
@@ -0,0 +1,80 @@
+// Tests of responses that workers repeat, break off or replace by an error.
+
+#include <gtest/gtest.h>
+
+#include "unit_tests/core/serving/serving_fixture.h"
+
+namespace boragepick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A started router with one request sent to a worker.
+class ServingResponses : public testing::Test {
+ protected:
+  SendAttempt SendRequest(const std::string& path,
+                          const std::string& model = "") {
+    m_fixture.Start();
+    m_fixture.ReceiveRequest(path, model);
+    return TakeAttempt();
+  }
+  SendAttempt TakeAttempt() {
+    auto sent = m_fixture.TakeEffects<SendAttempt>();
+    EXPECT_EQ(sent.size(), 1U);
+    return sent.empty() ? SendAttempt{} : sent.front();
+  }
+  void RefuseAttempt(const SendAttempt& sent, unsigned status = 503) {
+    m_fixture.Handle(
+        AttemptHeadReceived{.attempt = sent.attempt,
+                            .head = {.status = status, .not_executed = true}});
+  }
+  void RespondBytes(const SendAttempt& sent, std::string bytes) {
+    m_fixture.Handle(AttemptBodyReceived{.attempt = sent.attempt,
+                                         .bytes = std::move(bytes)});
+  }
+  void Reset(const SendAttempt& sent) {
+    m_fixture.Handle(AttemptFailed{.attempt = sent.attempt,
+                                   .failure = AttemptFailure::kReset});
+  }
+  unsigned RefusalStatus() {
+    const auto refused = m_fixture.TakeEffects<RefuseRequest>();
+    return refused.empty() ? 0 : refused.front().status;
+  }
+  std::string TakeBody() {
+    std::string body;
+    for (const SendResponseBody& part :
+         m_fixture.TakeEffects<SendResponseBody>())
+      body += part.bytes;
+    return body;
+  }
+
+  ServingFixture m_fixture;
+};
+
+// A worker repeated its refusal on the kept connection: the request was
+// reported as not run while the worker ran its second attempt.
+TEST_F(ServingResponses, SecondAttemptAtAWorkerUsesANewConnection) {
+  m_fixture.Start();
+  m_fixture.Handle(WorkerUnlisted{.id = "p2"});
+  m_fixture.ReceiveRequest("/book/1");
+  const SendAttempt first = TakeAttempt();
+  EXPECT_FALSE(first.new_connection);
+  RefuseAttempt(first);
+  const SendAttempt second = TakeAttempt();
+  EXPECT_EQ(second.worker, first.worker);
+  EXPECT_TRUE(second.new_connection);
+}
+
+TEST_F(ServingResponses, RequestHeldAfterAMisdirectionUsesANewConnection) {
+  const SendAttempt first = SendRequest("/review/1", "m2");
+  RefuseAttempt(first, 421);
+  m_fixture.Advance(milliseconds(900));
+  m_fixture.Handle(WorkerListed{.entry = EngineWorker("w1", {"m1", "m2"})});
+  const SendAttempt second = TakeAttempt();
+  EXPECT_EQ(second.worker, first.worker);
+  EXPECT_TRUE(second.new_connection);
+}
+
+}  // namespace
+}  // namespace boragepick
