Move the handling of responses out of request_attempts.cc

OnResponseHead, OnResponseBody, ForwardEvents, OnAttemptCompleted and CompleteResponse, with the constants that only they use, are in request_responses.cc, unchanged. The unit tests of the serving core pass as before (Serving*).

--- /dev/null
+++ b/source/core/serving/request_responses.cc
@@ -0,0 +1,160 @@
+// RequestTable's responses: heads, bodies and events of the current attempt and
+// the end of a complete response.
+#include "core/serving/request_table.h"
+
+namespace boragepick {
+
+namespace {
+
+// Response bodies up to this size are buffered and sent whole, so that a failed
+// attempt can still be retried.
+constexpr std::size_t kMaxBufferedBytes = 1 << 20;
+// A plain service is expected to respond within its latency objective divided
+// by this.
+constexpr int kPlainLatencyDivisor = 4;
+
+constexpr bool IsSuccess(unsigned status) {
+  return status >= 200 && status < 300;
+}
+
+}  // namespace
+
+void RequestTable::OnResponseHead(TimePoint now,
+                                  AttemptNumber number,
+                                  UpstreamResponseHead head) {
+  Exchange* exchange = FindAttempt(number);
+  if (exchange == nullptr)
+    return;
+  Attempt& attempt = *exchange->attempt;
+  if (head.not_executed) {
+    RecordRejection(now, *exchange, head);
+    CancelCurrentAttempt(*exchange);
+    return RetryRejected(now, *exchange);
+  }
+  const bool failed = !IsSuccess(head.status) || !head.is_signed;
+  if (IsSuccess(head.status) && !head.is_signed)
+    return HandleAttemptFailure(now, *exchange, "unsigned success");
+  const bool is_retryable = failed && head.status >= 500 &&
+                            exchange->route->IsRepeatable() &&
+                            CanRetry(now, *exchange, /*has_run=*/true);
+  if (is_retryable || (failed && exchange->head_sent))
+    return HandleAttemptFailure(now, *exchange,
+                                "status " + std::to_string(head.status));
+  attempt.head = std::move(head);
+}
+
+void RequestTable::OnResponseBody(TimePoint now,
+                                  AttemptNumber number,
+                                  std::string_view bytes) {
+  Exchange* exchange = FindAttempt(number);
+  if (exchange == nullptr || !exchange->attempt->head)
+    return;
+  Attempt& attempt = *exchange->attempt;
+  const bool is_stream = exchange->route->kind == RequestKind::kStream &&
+                         IsSuccess(attempt.head->status);
+  if (is_stream)
+    return ForwardEvents(now, *exchange, bytes);
+  attempt.body_started = true;
+  if (exchange->head_sent) {
+    m_state.Emit(SendResponseBody{.id = exchange->request->id,
+                                  .bytes = std::string(bytes)});
+    return;
+  }
+  attempt.buffered += bytes;
+  if (attempt.buffered.size() <= kMaxBufferedBytes)
+    return;
+  exchange->head_sent = true;
+  m_metrics.first_byte.Add(now - exchange->arrived);
+  m_state.Emit(
+      SendResponseHead{.id = exchange->request->id, .head = *attempt.head});
+  m_state.Emit(SendResponseBody{.id = exchange->request->id,
+                                .bytes = std::exchange(attempt.buffered, {})});
+}
+
+void RequestTable::ForwardEvents(TimePoint now,
+                                 Exchange& exchange,
+                                 std::string_view bytes) {
+  Attempt& attempt = *exchange.attempt;
+  std::string forwarded;
+  bool has_gap = false;
+  for (StreamEvent& event : attempt.events.Append(bytes)) {
+    if (event.id && exchange.last_delivered_event) {
+      // A resumed run may begin with events that the caller already has.
+      if (*event.id <= *exchange.last_delivered_event)
+        continue;
+      has_gap = *event.id != *exchange.last_delivered_event + 1;
+    }
+    if (has_gap)
+      break;
+    if (event.id)
+      exchange.last_delivered_event = event.id;
+    forwarded += event.bytes;
+  }
+  if (!forwarded.empty()) {
+    if (!attempt.body_started) {
+      attempt.body_started = true;
+      Worker* worker = m_state.workers.Find(attempt.worker);
+      if (worker != nullptr) {
+        m_state.workers.RecordSuccess(*worker, now - attempt.sent_at,
+                                      std::chrono::milliseconds(60) +
+                                          PrefillTime(attempt.prefill_tokens));
+        worker->pending_prefill_tokens -= attempt.prefill_tokens;
+      }
+      attempt.prefill_tokens = 0;
+    }
+    if (!exchange.head_sent) {
+      exchange.head_sent = true;
+      m_metrics.first_byte.Add(now - exchange.arrived);
+      m_state.Emit(
+          SendResponseHead{.id = exchange.request->id, .head = *attempt.head});
+    }
+    m_state.Emit(SendResponseBody{.id = exchange.request->id,
+                                  .bytes = std::move(forwarded)});
+    RecordProgress(now, exchange);
+  }
+  if (has_gap || attempt.events.Overflowed())
+    HandleAttemptFailure(now, exchange,
+                         has_gap ? "gap in the stream" : "event too large");
+}
+
+void RequestTable::OnAttemptCompleted(TimePoint now, AttemptNumber number) {
+  Exchange* exchange = FindAttempt(number);
+  if (exchange == nullptr || !exchange->attempt->head)
+    return;
+  const Attempt& attempt = *exchange->attempt;
+  if (attempt.events.HasPartial())
+    return HandleAttemptFailure(now, *exchange, "stream ended inside an event");
+  CompleteResponse(now, *exchange);
+}
+
+void RequestTable::CompleteResponse(TimePoint now, Exchange& exchange) {
+  ++m_metrics.answered;
+  m_metrics.whole_answer.Add(now - exchange.arrived);
+  if (const auto cleared = m_crash_suspects.RecordCompletedRun(now, exchange))
+    m_state.fleet.Broadcast(*cleared);
+  Attempt& attempt = *exchange.attempt;
+  Worker* worker = m_state.workers.Find(attempt.worker);
+  const bool is_plain = exchange.weights.empty();
+  if (worker != nullptr && is_plain && IsSuccess(attempt.head->status)) {
+    m_state.workers.RecordSuccess(
+        *worker, now - attempt.sent_at,
+        exchange.route->target_latency / kPlainLatencyDivisor);
+  }
+  m_state.Log(LogEvent::kRequestFinished,
+              {{"request", exchange.request->trace_id},
+               {"status", std::to_string(attempt.head->status)},
+               {"worker", attempt.worker},
+               {"sends", std::to_string(exchange.attempts_sent)},
+               {"after_ms", FormatMilliseconds(now - exchange.arrived)}});
+  if (exchange.head_sent) {
+    m_state.Emit(EndResponse{.id = exchange.request->id});
+  } else {
+    m_metrics.first_byte.Add(now - exchange.arrived);
+    m_state.Emit(SendResponse{.id = exchange.request->id,
+                              .head = std::move(*attempt.head),
+                              .body = std::move(attempt.buffered)});
+  }
+  Remove(exchange);
+}
+
+}  // namespace boragepick
