Forward 408, 429 and 503 only if the worker states that nothing ran

What callers could see: "not run, try again" for a request that may have run.

Cause: a worker's 408, 429 or 503 without the not-executed header was forwarded like any other error, but only that header proves that the request did not run, while callers take these four statuses for a guarantee. Such a response is now a failure of the attempt that may have run: a repeatable request is retried, any other gets 502.

Before the fix the tests printed for each of 408, 429 and 503: serving_responses_test.cc:87: m_fixture.TakeEffects<SendResponse>().empty(), false serving_responses_test.cc:88: RefusalStatus(), Which is: 0, 502U and for a repeatable request, line 24: sent.size(), Which is: 0, 1U.

--- a/source/core/serving/request_responses.cc
+++ b/source/core/serving/request_responses.cc
@@ -17,6 +17,12 @@
   return status >= 200 && status < 300;
 }
 
+// Callers take these statuses for a guarantee that the request has not run, so
+// they are forwarded only if the upstream states that.
+constexpr bool GuaranteesNoRun(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 }  // namespace
 
 void RequestTable::OnResponseHead(TimePoint now,
@@ -37,7 +43,8 @@
   const bool is_retryable = failed && head.status >= 500 &&
                             exchange->route->IsRepeatable() &&
                             CanRetry(now, *exchange, /*has_run=*/true);
-  if (is_retryable || (failed && exchange->head_sent))
+  if (is_retryable || GuaranteesNoRun(head.status) ||
+      (failed && exchange->head_sent))
     return HandleAttemptFailure(now, *exchange,
                                 "status " + std::to_string(head.status));
   attempt.head = std::move(head);
--- a/source/unit_tests/core/serving/serving_responses_test.cc
+++ b/source/unit_tests/core/serving/serving_responses_test.cc
@@ -76,5 +76,25 @@
   EXPECT_TRUE(second.new_connection);
 }
 
+// Callers take these statuses for a promise that the request never runs.
+TEST_F(ServingResponses, PromiseWithoutTheStatementThatNothingRanIsAFailure) {
+  m_fixture.Start();
+  for (const unsigned status : {408U, 429U, 503U}) {
+    m_fixture.ReceiveRequest("/book/1");
+    const SendAttempt sent = TakeAttempt();
+    m_fixture.RespondHead(sent.attempt, status);
+    m_fixture.Handle(AttemptCompleted{.attempt = sent.attempt});
+    EXPECT_TRUE(m_fixture.TakeEffects<SendResponse>().empty()) << status;
+    EXPECT_EQ(RefusalStatus(), 502U) << status;
+    m_fixture.Advance(seconds(5));
+  }
+}
+
+TEST_F(ServingResponses, RepeatableRequestIsRetriedAfterAnUnprovenPromise) {
+  const SendAttempt first = SendRequest("/read/1");
+  m_fixture.RespondHead(first.attempt, 429);
+  EXPECT_NE(TakeAttempt().worker, first.worker);
+}
+
 }  // namespace
 }  // namespace boragepick
