Break off a stream run that sends text without an event id

What callers found: the text of an error, at times with its head, in the middle of their stream.

Cause: ForwardEvents checked the order of events by their ids, but forwarded every block of lines without an id as it was: the body of an error that a resumed run sends with status 200, or the head of another response in a response that ends with its connection. All events of a stream have ids, so a block without one, unless it only holds comments, now fails the attempt before it is forwarded: the stream is resumed elsewhere or aborted.

Before the fix the tests printed, for each of six texts, serving_responses_test.cc:136: Failure: IsAbortedAfterTwoEvents(), Actual: false and for text instead of a first event, line 144: RefusalStatus(), Which is: 0, 502U.

--- a/source/core/serving/event_splitter.cc
+++ b/source/core/serving/event_splitter.cc
@@ -30,6 +30,20 @@
   return std::nullopt;
 }
 
+bool HasOnlyComments(std::string_view event) {
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    const std::string_view line = event.substr(0, end);
+    const bool is_blank = line.empty() || line == "\r";
+    if (!is_blank && !line.starts_with(':'))
+      return false;
+    if (end == std::string_view::npos)
+      break;
+    event.remove_prefix(end + 1);
+  }
+  return true;
+}
+
 // Returns the position after the blank line that ends the first event of
 // `text`, or npos if the event is incomplete.
 std::size_t FindEventEnd(std::string_view text) {
@@ -52,7 +66,9 @@
     if (end == std::string_view::npos)
       break;
     const std::string_view event = rest.substr(0, end);
-    events.push_back({.bytes = std::string(event), .id = ParseEventId(event)});
+    events.push_back({.bytes = std::string(event),
+                      .id = ParseEventId(event),
+                      .is_comment = HasOnlyComments(event)});
     start += end;
   }
   m_partial.erase(0, start);
--- a/source/core/serving/event_splitter.h
+++ b/source/core/serving/event_splitter.h
@@ -14,6 +14,8 @@
   // The event as received, including the blank line that ends it.
   std::string bytes;
   std::optional<std::uint64_t> id;
+  // All of its lines are comments, as of a keep-alive.
+  bool is_comment = false;
 };
 
 class EventSplitter {
--- a/source/core/serving/request_responses.cc
+++ b/source/core/serving/request_responses.cc
@@ -23,6 +23,16 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+// Returns why the event can't follow those that the caller has, or an empty
+// text.
+std::string_view FindStreamFault(const Exchange& exchange,
+                                 const StreamEvent& event) {
+  if (!event.id)
+    return event.is_comment ? "" : "event without an id";
+  const auto& last = exchange.last_delivered_event;
+  return last && *event.id > *last + 1 ? "gap in the stream" : "";
+}
+
 }  // namespace
 
 void RequestTable::OnResponseHead(TimePoint now,
@@ -83,20 +93,22 @@
                                  std::string_view bytes) {
   Attempt& attempt = *exchange.attempt;
   std::string forwarded;
-  bool has_gap = false;
+  std::string_view fault;
   for (StreamEvent& event : attempt.events.Append(bytes)) {
-    if (event.id && exchange.last_delivered_event) {
+    fault = FindStreamFault(exchange, event);
+    if (!fault.empty())
+      break;
+    if (event.id) {
       // A resumed run may begin with events that the caller already has.
-      if (*event.id <= *exchange.last_delivered_event)
+      if (exchange.last_delivered_event &&
+          *event.id <= *exchange.last_delivered_event)
         continue;
-      has_gap = *event.id != *exchange.last_delivered_event + 1;
-    }
-    if (has_gap)
-      break;
-    if (event.id)
       exchange.last_delivered_event = event.id;
+    }
     forwarded += event.bytes;
   }
+  if (fault.empty() && attempt.events.Overflowed())
+    fault = "event too large";
   if (!forwarded.empty()) {
     if (!attempt.body_started) {
       attempt.body_started = true;
@@ -119,9 +131,8 @@
                                   .bytes = std::move(forwarded)});
     RecordProgress(now, exchange);
   }
-  if (has_gap || attempt.events.Overflowed())
-    HandleAttemptFailure(now, exchange,
-                         has_gap ? "gap in the stream" : "event too large");
+  if (!fault.empty())
+    HandleAttemptFailure(now, exchange, std::string(fault));
 }
 
 void RequestTable::OnAttemptCompleted(TimePoint now, AttemptNumber number) {
--- a/source/unit_tests/core/serving/serving_responses_test.cc
+++ b/source/unit_tests/core/serving/serving_responses_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+
 #include "unit_tests/core/serving/serving_fixture.h"
 
 namespace boragepick {
@@ -10,54 +12,77 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+std::string EventText(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
 // A started router with one request sent to a worker.
 class ServingResponses : public testing::Test {
  protected:
   SendAttempt SendRequest(const std::string& path,
                           const std::string& model = "") {
-    m_fixture.Start();
-    m_fixture.ReceiveRequest(path, model);
+    m_fixture->Start();
+    m_fixture->ReceiveRequest(path, model);
     return TakeAttempt();
   }
   SendAttempt TakeAttempt() {
-    auto sent = m_fixture.TakeEffects<SendAttempt>();
+    auto sent = m_fixture->TakeEffects<SendAttempt>();
     EXPECT_EQ(sent.size(), 1U);
     return sent.empty() ? SendAttempt{} : sent.front();
   }
   void RefuseAttempt(const SendAttempt& sent, unsigned status = 503) {
-    m_fixture.Handle(
+    m_fixture->Handle(
         AttemptHeadReceived{.attempt = sent.attempt,
                             .head = {.status = status, .not_executed = true}});
   }
   void RespondBytes(const SendAttempt& sent, std::string bytes) {
-    m_fixture.Handle(AttemptBodyReceived{.attempt = sent.attempt,
-                                         .bytes = std::move(bytes)});
+    m_fixture->Handle(AttemptBodyReceived{.attempt = sent.attempt,
+                                          .bytes = std::move(bytes)});
   }
   void Reset(const SendAttempt& sent) {
-    m_fixture.Handle(AttemptFailed{.attempt = sent.attempt,
-                                   .failure = AttemptFailure::kReset});
+    m_fixture->Handle(AttemptFailed{.attempt = sent.attempt,
+                                    .failure = AttemptFailure::kReset});
+  }
+  // Sends a resumable stream, breaks it after its second event and returns the
+  // attempt that resumes it.
+  SendAttempt BreakStream() {
+    const SendAttempt first = SendRequest("/ask/1", "m1");
+    m_fixture->RespondHead(first.attempt);
+    RespondBytes(first, EventText(1) + EventText(2));
+    Reset(first);
+    const SendAttempt second = TakeAttempt();
+    EXPECT_EQ(second.resume_after, 2U);
+    return second;
+  }
+  // Whether the stream that BreakStream() began was aborted, with no other
+  // bytes sent than its first two events.
+  bool IsAbortedAfterTwoEvents() {
+    return TakeBody() == EventText(1) + EventText(2) &&
+           m_fixture->TakeEffects<EndResponse>().empty() &&
+           m_fixture->TakeEffects<SendResponse>().empty() &&
+           m_fixture->TakeEffects<AbortResponse>().size() == 1;
   }
   unsigned RefusalStatus() {
-    const auto refused = m_fixture.TakeEffects<RefuseRequest>();
+    const auto refused = m_fixture->TakeEffects<RefuseRequest>();
     return refused.empty() ? 0 : refused.front().status;
   }
   std::string TakeBody() {
     std::string body;
     for (const SendResponseBody& part :
-         m_fixture.TakeEffects<SendResponseBody>())
+         m_fixture->TakeEffects<SendResponseBody>())
       body += part.bytes;
     return body;
   }
 
-  ServingFixture m_fixture;
+  std::optional<ServingFixture> m_fixture{std::in_place};
 };
 
 // A worker repeated its refusal on the kept connection: the request was
 // reported as not run while the worker ran its second attempt.
 TEST_F(ServingResponses, SecondAttemptAtAWorkerUsesANewConnection) {
-  m_fixture.Start();
-  m_fixture.Handle(WorkerUnlisted{.id = "p2"});
-  m_fixture.ReceiveRequest("/book/1");
+  m_fixture->Start();
+  m_fixture->Handle(WorkerUnlisted{.id = "p2"});
+  m_fixture->ReceiveRequest("/book/1");
   const SendAttempt first = TakeAttempt();
   EXPECT_FALSE(first.new_connection);
   RefuseAttempt(first);
@@ -69,8 +94,8 @@
 TEST_F(ServingResponses, RequestHeldAfterAMisdirectionUsesANewConnection) {
   const SendAttempt first = SendRequest("/review/1", "m2");
   RefuseAttempt(first, 421);
-  m_fixture.Advance(milliseconds(900));
-  m_fixture.Handle(WorkerListed{.entry = EngineWorker("w1", {"m1", "m2"})});
+  m_fixture->Advance(milliseconds(900));
+  m_fixture->Handle(WorkerListed{.entry = EngineWorker("w1", {"m1", "m2"})});
   const SendAttempt second = TakeAttempt();
   EXPECT_EQ(second.worker, first.worker);
   EXPECT_TRUE(second.new_connection);
@@ -78,23 +103,57 @@
 
 // Callers take these statuses for a promise that the request never runs.
 TEST_F(ServingResponses, PromiseWithoutTheStatementThatNothingRanIsAFailure) {
-  m_fixture.Start();
+  m_fixture->Start();
   for (const unsigned status : {408U, 429U, 503U}) {
-    m_fixture.ReceiveRequest("/book/1");
+    m_fixture->ReceiveRequest("/book/1");
     const SendAttempt sent = TakeAttempt();
-    m_fixture.RespondHead(sent.attempt, status);
-    m_fixture.Handle(AttemptCompleted{.attempt = sent.attempt});
-    EXPECT_TRUE(m_fixture.TakeEffects<SendResponse>().empty()) << status;
+    m_fixture->RespondHead(sent.attempt, status);
+    m_fixture->Handle(AttemptCompleted{.attempt = sent.attempt});
+    EXPECT_TRUE(m_fixture->TakeEffects<SendResponse>().empty()) << status;
     EXPECT_EQ(RefusalStatus(), 502U) << status;
-    m_fixture.Advance(seconds(5));
+    m_fixture->Advance(seconds(5));
   }
 }
 
 TEST_F(ServingResponses, RepeatableRequestIsRetriedAfterAnUnprovenPromise) {
   const SendAttempt first = SendRequest("/read/1");
-  m_fixture.RespondHead(first.attempt, 429);
+  m_fixture->RespondHead(first.attempt, 429);
   EXPECT_NE(TakeAttempt().worker, first.worker);
 }
 
+// The text of an error arrived in the middle of a caller's stream.
+TEST_F(ServingResponses, TextBetweenEventsIsNotForwarded) {
+  for (const char* text :
+       {"upstream error\n\n", "event: error\ndata: {\"error\":1}\n\n",
+        "{\"error\":1}\n\n", "<h1>Bad Gateway</h1>\r\n\r\n",
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\n{}",
+        "id: x\ndata: y\n\n"}) {
+    m_fixture.emplace();
+    const SendAttempt second = BreakStream();
+    m_fixture->RespondHead(second.attempt);
+    RespondBytes(second, text);
+    m_fixture->Handle(AttemptCompleted{.attempt = second.attempt});
+    EXPECT_TRUE(IsAbortedAfterTwoEvents()) << text;
+  }
+}
+
+TEST_F(ServingResponses, TextInsteadOfAFirstEventIsNotForwarded) {
+  const SendAttempt sent = SendRequest("/review/1", "m1");
+  m_fixture->RespondHead(sent.attempt);
+  RespondBytes(sent, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ(RefusalStatus(), 502U);
+}
+
+TEST_F(ServingResponses, CommentsBetweenEventsAreForwarded) {
+  const SendAttempt sent = SendRequest("/review/1", "m1");
+  m_fixture->RespondHead(sent.attempt);
+  const std::string bytes =
+      ": wait\n\n" + EventText(1) + ":\r\n\r\n" + EventText(2);
+  RespondBytes(sent, bytes);
+  m_fixture->Handle(AttemptCompleted{.attempt = sent.attempt});
+  EXPECT_EQ(TakeBody(), bytes);
+  EXPECT_EQ(m_fixture->TakeEffects<EndResponse>().size(), 1U);
+}
+
 }  // namespace
 }  // namespace boragepick
