Complete a stream only if its last run reached the last event sent

What callers found: a stream that ended as complete before its last event, or a success with no event at all.

Cause: OnAttemptCompleted checked only that the run hadn't ended inside an event. A run that ends with its connection before its first event, a resumed run that answers 204 or an empty 200, and one whose ids go back ended the stream as complete. A run of a stream must now have sent an event and reached the last one that the caller has; only a caller that itself resumes a stream may get none.

--- a/source/core/serving/exchange.h
+++ b/source/core/serving/exchange.h
@@ -69,6 +69,8 @@
   // complete or larger than kMaxBufferedBytes.
   std::string buffered;
   EventSplitter events;
+  // The last event received, whether or not the caller already had it.
+  std::optional<std::uint64_t> last_event;
   // Whether an event or a byte of the response body was received.
   bool body_started = false;
   TimePoint last_progress;
--- a/source/core/serving/request_responses.cc
+++ b/source/core/serving/request_responses.cc
@@ -23,6 +23,12 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+// Whether the response of the current attempt is a stream of events.
+bool IsStream(const Exchange& exchange) {
+  return exchange.route->kind == RequestKind::kStream &&
+         IsSuccess(exchange.attempt->head->status);
+}
+
 // Returns why the event can't follow those that the caller has, or an empty
 // text.
 std::string_view FindStreamFault(const Exchange& exchange,
@@ -33,6 +39,23 @@
   return last && *event.id > *last + 1 ? "gap in the stream" : "";
 }
 
+// Returns why the stream is not complete at the end of the current attempt, or
+// an empty text.
+std::string_view FindTruncation(const Exchange& exchange) {
+  const Attempt& attempt = *exchange.attempt;
+  if (attempt.events.HasPartial())
+    return "stream ended inside an event";
+  // Nothing may be left only if the caller itself resumes the stream.
+  if (!attempt.last_event) {
+    const bool may_be_empty =
+        exchange.last_delivered_event && !exchange.head_sent;
+    return may_be_empty ? "" : "stream without events";
+  }
+  return *attempt.last_event < *exchange.last_delivered_event
+             ? "stream ended before its last event"
+             : "";
+}
+
 }  // namespace
 
 void RequestTable::OnResponseHead(TimePoint now,
@@ -67,9 +90,7 @@
   if (exchange == nullptr || !exchange->attempt->head)
     return;
   Attempt& attempt = *exchange->attempt;
-  const bool is_stream = exchange->route->kind == RequestKind::kStream &&
-                         IsSuccess(attempt.head->status);
-  if (is_stream)
+  if (IsStream(*exchange))
     return ForwardEvents(now, *exchange, bytes);
   attempt.body_started = true;
   if (exchange->head_sent) {
@@ -99,6 +120,7 @@
     if (!fault.empty())
       break;
     if (event.id) {
+      attempt.last_event = event.id;
       // A resumed run may begin with events that the caller already has.
       if (exchange.last_delivered_event &&
           *event.id <= *exchange.last_delivered_event)
@@ -139,9 +161,10 @@
   Exchange* exchange = FindAttempt(number);
   if (exchange == nullptr || !exchange->attempt->head)
     return;
-  const Attempt& attempt = *exchange->attempt;
-  if (attempt.events.HasPartial())
-    return HandleAttemptFailure(now, *exchange, "stream ended inside an event");
+  const std::string_view truncation =
+      IsStream(*exchange) ? FindTruncation(*exchange) : "";
+  if (!truncation.empty())
+    return HandleAttemptFailure(now, *exchange, std::string(truncation));
   CompleteResponse(now, *exchange);
 }
 
--- a/source/unit_tests/core/serving/serving_responses_test.cc
+++ b/source/unit_tests/core/serving/serving_responses_test.cc
@@ -155,5 +155,81 @@
   EXPECT_EQ(m_fixture->TakeEffects<EndResponse>().size(), 1U);
 }
 
+// A worker that ends without any event has not answered.
+TEST_F(ServingResponses, StreamWithoutEventsIsNotComplete) {
+  const SendAttempt sent = SendRequest("/review/1", "m1");
+  m_fixture->RespondHead(sent.attempt);
+  m_fixture->Handle(AttemptCompleted{.attempt = sent.attempt});
+  EXPECT_TRUE(m_fixture->TakeEffects<SendResponse>().empty());
+  EXPECT_EQ(RefusalStatus(), 502U);
+}
+
+TEST_F(ServingResponses, StreamOfCommentsIsNotComplete) {
+  const SendAttempt sent = SendRequest("/review/1", "m1");
+  m_fixture->RespondHead(sent.attempt);
+  RespondBytes(sent, ": wait\n\n");
+  m_fixture->Handle(AttemptCompleted{.attempt = sent.attempt});
+  EXPECT_TRUE(m_fixture->TakeEffects<EndResponse>().empty());
+  EXPECT_EQ(m_fixture->TakeEffects<AbortResponse>().size(), 1U);
+}
+
+// A run that ended before the last event that the caller had ended the stream.
+TEST_F(ServingResponses, ResumedRunThatFallsShortDoesNotCompleteTheStream) {
+  for (const std::string& bytes : {std::string(), EventText(1)}) {
+    m_fixture.emplace();
+    const SendAttempt second = BreakStream();
+    m_fixture->RespondHead(second.attempt);
+    RespondBytes(second, bytes);
+    m_fixture->Handle(AttemptCompleted{.attempt = second.attempt});
+    EXPECT_TRUE(IsAbortedAfterTwoEvents()) << bytes;
+  }
+}
+
+TEST_F(ServingResponses, RunWhoseEventIdsGoBackDoesNotCompleteTheStream) {
+  const SendAttempt sent = SendRequest("/review/1", "m1");
+  m_fixture->RespondHead(sent.attempt);
+  RespondBytes(sent, EventText(1) + EventText(2) + EventText(1));
+  m_fixture->Handle(AttemptCompleted{.attempt = sent.attempt});
+  EXPECT_TRUE(IsAbortedAfterTwoEvents());
+}
+
+TEST_F(ServingResponses, SkippedEventBreaksTheStream) {
+  const SendAttempt sent = SendRequest("/review/1", "m1");
+  m_fixture->RespondHead(sent.attempt);
+  RespondBytes(sent, EventText(1) + EventText(2) + EventText(4));
+  EXPECT_TRUE(IsAbortedAfterTwoEvents());
+}
+
+TEST_F(ServingResponses, ErrorInsteadOfAResumedRunIsNotForwarded) {
+  for (const unsigned status :
+       {204U, 302U, 400U, 404U, 408U, 429U, 500U, 502U, 503U}) {
+    m_fixture.emplace();
+    const SendAttempt second = BreakStream();
+    m_fixture->RespondHead(second.attempt, status);
+    if (status != 204)
+      RespondBytes(second, EventText(3));
+    m_fixture->Handle(AttemptCompleted{.attempt = second.attempt});
+    EXPECT_TRUE(IsAbortedAfterTwoEvents()) << status;
+  }
+}
+
+TEST_F(ServingResponses, UnsignedResumedRunIsNotForwarded) {
+  const SendAttempt second = BreakStream();
+  m_fixture->Handle(
+      AttemptHeadReceived{.attempt = second.attempt, .head = {.status = 200}});
+  RespondBytes(second, EventText(3));
+  m_fixture->Handle(AttemptCompleted{.attempt = second.attempt});
+  EXPECT_TRUE(IsAbortedAfterTwoEvents());
+}
+
+TEST_F(ServingResponses, RefusedResumptionEndsAbortedIfNoWorkerCanContinue) {
+  for (const unsigned status : {421U, 429U, 503U}) {
+    m_fixture.emplace();
+    RefuseAttempt(BreakStream(), status);
+    m_fixture->Advance(seconds(5));
+    EXPECT_TRUE(IsAbortedAfterTwoEvents()) << status;
+  }
+}
+
 }  // namespace
 }  // namespace boragepick
