Don't continue a partly sent plain response with another run's body

What callers would find: the beginning of a response of more than 1 MiB, then the whole body of another run, with both ends looking complete.

Cause: a response larger than kMaxBufferedBytes is sent as it arrives. If its worker then broke off or paused, CanRetry allowed an idempotent request another run, and OnResponseBody appended its body to what the caller had. Once a response has begun, only a stream may be continued: a plain one is aborted when it breaks off, and a pause leaves it running.

Before the fix the tests printed: serving_responses_test.cc:240, 249: TakeEffects<SendAttempt>().empty(), false :241: TakeEffects<AbortResponse>().size(): 0, 1U :251: TakeEffects<EndResponse>().size(): 0, 1U

--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -351,6 +351,9 @@
 bool RequestTable::CanRetry(TimePoint now,
                             const Exchange& exchange,
                             bool has_run) const {
+  // Only a stream can be continued by another run.
+  if (exchange.head_sent && exchange.route->kind != RequestKind::kStream)
+    return false;
   const std::uint32_t runs = exchange.possible_runs + (has_run ? 1 : 0);
   return exchange.attempts_sent < kMaxAttempts &&
          runs < exchange.route->max_attempts &&
--- a/source/unit_tests/core/serving/serving_responses_test.cc
+++ b/source/unit_tests/core/serving/serving_responses_test.cc
@@ -231,5 +231,25 @@
   }
 }
 
+// A second run's body followed the part of the first one's that the caller had.
+TEST_F(ServingResponses, LargeBodyThatBreaksOffIsNotContinuedByAnotherRun) {
+  const SendAttempt sent = SendRequest("/read/1");
+  m_fixture->RespondHead(sent.attempt);
+  RespondBytes(sent, std::string((1 << 20) + 1, 'a'));
+  Reset(sent);
+  EXPECT_TRUE(m_fixture->TakeEffects<SendAttempt>().empty());
+  EXPECT_EQ(m_fixture->TakeEffects<AbortResponse>().size(), 1U);
+}
+
+TEST_F(ServingResponses, LargeBodyThatPausesIsNotContinuedByAnotherRun) {
+  const SendAttempt sent = SendRequest("/open/1");
+  m_fixture->RespondHead(sent.attempt);
+  RespondBytes(sent, std::string((1 << 20) + 1, 'a'));
+  m_fixture->Advance(seconds(3));
+  EXPECT_TRUE(m_fixture->TakeEffects<SendAttempt>().empty());
+  m_fixture->Handle(AttemptCompleted{.attempt = sent.attempt});
+  EXPECT_EQ(m_fixture->TakeEffects<EndResponse>().size(), 1U);
+}
+
 }  // namespace
 }  // namespace boragepick
