Keep treating a begun stream as a stream when its route changes

What callers found, beside a change of the configuration: events that they already had, once more.

Cause: OnResponseBody took the kind of the route for the kind of the response. A broken stream that is held for another worker resolves its route again; if that was no longer a stream's, the next run's bytes were forwarded unchecked. The exchange now notes what was promised to the caller with the head, and both the handling of bytes and the permission to continue follow that.

Before the fix the test printed: serving_responses_test.cc:274: TakeBody(), Which is: "id: 1... id: 2... id: 1... id: 2... id: 3...", expected "id: 1... id: 2... id: 3..."

--- a/source/core/serving/exchange.h
+++ b/source/core/serving/exchange.h
@@ -111,6 +111,9 @@
 
   // Whether the response head was sent to the caller.
   bool head_sent = false;
+  // Whether the response that was begun is a stream of events. The route may
+  // change before another run continues it.
+  bool is_stream = false;
   // The id of the last stream event sent to the caller. Until one is sent, the
   // event after which the caller resumes.
   std::optional<std::uint64_t> last_delivered_event;
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -352,7 +352,7 @@
                             const Exchange& exchange,
                             bool has_run) const {
   // Only a stream can be continued by another run.
-  if (exchange.head_sent && exchange.route->kind != RequestKind::kStream)
+  if (exchange.head_sent && !exchange.is_stream)
     return false;
   const std::uint32_t runs = exchange.possible_runs + (has_run ? 1 : 0);
   return exchange.attempts_sent < kMaxAttempts &&
--- a/source/core/serving/request_responses.cc
+++ b/source/core/serving/request_responses.cc
@@ -25,6 +25,8 @@
 
 // Whether the response of the current attempt is a stream of events.
 bool IsStream(const Exchange& exchange) {
+  if (exchange.head_sent)
+    return exchange.is_stream;
   return exchange.route->kind == RequestKind::kStream &&
          IsSuccess(exchange.attempt->head->status);
 }
@@ -145,6 +147,7 @@
     }
     if (!exchange.head_sent) {
       exchange.head_sent = true;
+      exchange.is_stream = true;
       m_metrics.first_byte.Add(now - exchange.arrived);
       m_state.Emit(
           SendResponseHead{.id = exchange.request->id, .head = *attempt.head});
--- a/source/unit_tests/core/serving/serving_responses_test.cc
+++ b/source/unit_tests/core/serving/serving_responses_test.cc
@@ -251,5 +251,30 @@
   EXPECT_EQ(m_fixture->TakeEffects<EndResponse>().size(), 1U);
 }
 
+// A route that was no longer a stream's passed the second run's events on
+// unchecked.
+TEST_F(ServingResponses, StreamStaysAStreamWhenItsRouteChanges) {
+  const SendAttempt first = SendRequest("/ask/1", "m2");
+  m_fixture->RespondHead(first.attempt);
+  RespondBytes(first, EventText(1) + EventText(2));
+  Reset(first);
+  ServingConfig config = SmallConfig();
+  config.version = 2;
+  config.routes[0].kind = RequestKind::kIdempotent;
+  m_fixture->Handle(ConfigReceived{
+      .config = std::make_shared<const ConfigIndex>(std::move(config))});
+  m_fixture->Handle(WorkerListed{.entry = EngineWorker("w3", {"m2"})});
+  for (const SendAttempt& second : m_fixture->TakeEffects<SendAttempt>()) {
+    m_fixture->RespondHead(second.attempt);
+    RespondBytes(second, EventText(1) + EventText(2) + EventText(3));
+    m_fixture->Handle(AttemptCompleted{.attempt = second.attempt});
+  }
+  m_fixture->Advance(seconds(5));
+  const bool complete = !m_fixture->TakeEffects<EndResponse>().empty();
+  EXPECT_EQ(TakeBody(),
+            EventText(1) + EventText(2) + (complete ? EventText(3) : ""));
+  EXPECT_EQ(m_fixture->TakeEffects<AbortResponse>().size(), complete ? 0U : 1U);
+}
+
 }  // namespace
 }  // namespace boragepick
