Don't take a close before any event for the end of a resumed stream

What callers could find: an empty success for a stream that they resumed, as if nothing were left, when the worker crashed before its first event.

Cause: a response with neither a length nor chunks ends with its connection, and a crash ends it in the same way. HttpClient and AttemptCompleted didn't say which end a response had. They now do (ended_by_close), and a run without any event completes a stream only if the caller resumes it and the worker marked the end.

--- a/source/core/serving/request_responses.cc
+++ b/source/core/serving/request_responses.cc
@@ -43,14 +43,15 @@
 
 // Returns why the stream is not complete at the end of the current attempt, or
 // an empty text.
-std::string_view FindTruncation(const Exchange& exchange) {
+std::string_view FindTruncation(const Exchange& exchange, bool ended_by_close) {
   const Attempt& attempt = *exchange.attempt;
   if (attempt.events.HasPartial())
     return "stream ended inside an event";
-  // Nothing may be left only if the caller itself resumes the stream.
+  // Nothing may be left only if the caller itself resumes the stream and the
+  // upstream marks the end.
   if (!attempt.last_event) {
     const bool may_be_empty =
-        exchange.last_delivered_event && !exchange.head_sent;
+        exchange.last_delivered_event && !exchange.head_sent && !ended_by_close;
     return may_be_empty ? "" : "stream without events";
   }
   return *attempt.last_event < *exchange.last_delivered_event
@@ -160,12 +161,14 @@
     HandleAttemptFailure(now, exchange, std::string(fault));
 }
 
-void RequestTable::OnAttemptCompleted(TimePoint now, AttemptNumber number) {
+void RequestTable::OnAttemptCompleted(TimePoint now,
+                                      AttemptNumber number,
+                                      bool ended_by_close) {
   Exchange* exchange = FindAttempt(number);
   if (exchange == nullptr || !exchange->attempt->head)
     return;
   const std::string_view truncation =
-      IsStream(*exchange) ? FindTruncation(*exchange) : "";
+      IsStream(*exchange) ? FindTruncation(*exchange, ended_by_close) : "";
   if (!truncation.empty())
     return HandleAttemptFailure(now, *exchange, std::string(truncation));
   CompleteResponse(now, *exchange);
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -56,7 +56,9 @@
   void OnResponseBody(TimePoint now,
                       AttemptNumber attempt,
                       std::string_view bytes);
-  void OnAttemptCompleted(TimePoint now, AttemptNumber attempt);
+  void OnAttemptCompleted(TimePoint now,
+                          AttemptNumber attempt,
+                          bool ended_by_close);
   void OnAttemptFailed(TimePoint now,
                        AttemptNumber attempt,
                        AttemptFailure failure);
--- a/source/core/serving/serving_messages.h
+++ b/source/core/serving/serving_messages.h
@@ -45,6 +45,9 @@
 // The response was received completely.
 struct AttemptCompleted {
   AttemptNumber attempt = 0;
+  // The response had neither a length nor chunks and ended with its connection,
+  // as it also does if the worker crashes.
+  bool ended_by_close = false;
 };
 // The attempt failed before its response was complete.
 struct AttemptFailed {
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -57,7 +57,7 @@
 }
 
 void ServingRouter::On(TimePoint now, const AttemptCompleted& event) {
-  m_requests.OnAttemptCompleted(now, event.attempt);
+  m_requests.OnAttemptCompleted(now, event.attempt, event.ended_by_close);
 }
 
 void ServingRouter::On(TimePoint now, const AttemptFailed& event) {
--- a/source/frontends/http/http_client.cc
+++ b/source/frontends/http/http_client.cc
@@ -216,7 +216,7 @@
     const bool discarded =
         connection.stale_response || IsInterim(parser.head().status);
     if (!discarded) {
-      CompleteCall(connection);
+      CompleteCall(connection, /*ended_by_close=*/false);
       return false;
     }
     const bool too_many =
@@ -260,7 +260,7 @@
         CallBodyReceived{.id = connection.call, .bytes = std::move(bytes)});
 }
 
-void HttpClient::CompleteCall(Connection& connection) {
+void HttpClient::CompleteCall(Connection& connection, bool ended_by_close) {
   const CallId call = std::exchange(connection.call, 0);
   m_calls.erase(call);
   const HttpHead& head = connection.parser->head();
@@ -275,7 +275,7 @@
   } else {
     CloseConnection(connection.id);
   }
-  m_on_event(CallCompleted{.id = call});
+  m_on_event(CallCompleted{.id = call, .ended_by_close = ended_by_close});
 }
 
 void HttpClient::ReturnToPool(Connection& connection) {
@@ -307,7 +307,7 @@
     if (connection->parser->done() &&
         connection->parser->error() == ParseError::kNone) {
       DeliverResponse(*connection);
-      return CompleteCall(*connection);
+      return CompleteCall(*connection, /*ended_by_close=*/true);
     }
   }
   FailCall(*connection, CallFailure::kReset);
--- a/source/frontends/http/http_client.h
+++ b/source/frontends/http/http_client.h
@@ -79,6 +79,8 @@
 };
 struct CallCompleted {
   CallId id = 0;
+  // The response had no other end than that of its connection.
+  bool ended_by_close = false;
 };
 struct CallFailed {
   CallId id = 0;
@@ -127,7 +129,7 @@
   bool ParseResponse(Connection& connection);
   // Fails the call if the response can't be attributed to it.
   void DeliverResponse(Connection& connection);
-  void CompleteCall(Connection& connection);
+  void CompleteCall(Connection& connection, bool ended_by_close);
   void FailCall(Connection& connection, CallFailure failure);
   void ReturnToPool(Connection& connection);
   void CloseConnection(ConnectionId id);
--- a/source/frontends/serving/upstream_task.h
+++ b/source/frontends/serving/upstream_task.h
@@ -72,7 +72,8 @@
                                    .bytes = std::move(event.bytes)});
   }
   void Handle(const CallCompleted& event) {
-    m_callback(AttemptCompleted{.attempt = event.id});
+    m_callback(AttemptCompleted{.attempt = event.id,
+                                .ended_by_close = event.ended_by_close});
   }
   void Handle(const CallFailed& event) {
     AttemptFailure failure = AttemptFailure::kReset;
--- a/source/unit_tests/core/serving/serving_responses_test.cc
+++ b/source/unit_tests/core/serving/serving_responses_test.cc
@@ -276,5 +276,30 @@
   EXPECT_EQ(m_fixture->TakeEffects<AbortResponse>().size(), complete ? 0U : 1U);
 }
 
+TEST_F(ServingResponses, CloseBeforeAnyEventDoesNotCompleteAStream) {
+  for (const bool ended_by_close : {false, true}) {
+    m_fixture.emplace();
+    m_fixture->Start();
+    m_fixture->Handle(
+        RequestArrived{.request = std::make_shared<const ServingRequest>(
+                           ServingRequest{.id = 1,
+                                          .trace_id = "t1",
+                                          .method = "POST",
+                                          .target = "/review/1",
+                                          .host = "h.example",
+                                          .key_sha256 = "key",
+                                          .model = "m1",
+                                          .resume_after = 2})});
+    const SendAttempt sent = TakeAttempt();
+    m_fixture->RespondHead(sent.attempt);
+    m_fixture->Handle(AttemptCompleted{.attempt = sent.attempt,
+                                       .ended_by_close = ended_by_close});
+    // The caller has all events if the worker says so.
+    EXPECT_EQ(m_fixture->TakeEffects<SendResponse>().size(),
+              ended_by_close ? 0U : 1U);
+    EXPECT_EQ(RefusalStatus(), ended_by_close ? 502U : 0U);
+  }
+}
+
 }  // namespace
 }  // namespace boragepick
