Count a close inside an event as a possible crash of the worker

What was seen by a test: a request that crashes each worker during a response without a length was never refused.

Cause: only an attempt that failed with kReset was noted by the crash suspects. A worker that crashes during a response with neither a length nor chunks closes its connection, which completes the response for HttpClient; the core then finds that it stops inside an event, or before one, but didn't note the crash. It now does if the response ended with its connection; a truncated response that marks its end comes from a worker that still runs.

Before the fix the test printed: serving_responses_test.cc:296: refused.size(), Which is: 0, 1U

--- a/source/core/serving/request_responses.cc
+++ b/source/core/serving/request_responses.cc
@@ -169,8 +169,11 @@
     return;
   const std::string_view truncation =
       IsStream(*exchange) ? FindTruncation(*exchange, ended_by_close) : "";
-  if (!truncation.empty())
+  if (!truncation.empty()) {
+    if (ended_by_close)
+      RecordSuspectedCrash(now, *exchange);
     return HandleAttemptFailure(now, *exchange, std::string(truncation));
+  }
   CompleteResponse(now, *exchange);
 }
 
--- a/source/unit_tests/core/serving/serving_responses_test.cc
+++ b/source/unit_tests/core/serving/serving_responses_test.cc
@@ -276,6 +276,27 @@
   EXPECT_EQ(m_fixture->TakeEffects<AbortResponse>().size(), complete ? 0U : 1U);
 }
 
+// A crash in the middle of a response without a length ends like the response.
+TEST_F(ServingResponses, CloseInsideAnEventCountsAsACrash) {
+  m_fixture->Start();
+  for (std::int64_t born = 2; born < 5; ++born) {
+    m_fixture->ReceiveRequest("/review/poison", "m1");
+    const SendAttempt sent = TakeAttempt();
+    m_fixture->RespondHead(sent.attempt);
+    RespondBytes(sent, "id: 1\nda");
+    m_fixture->Handle(
+        AttemptCompleted{.attempt = sent.attempt, .ended_by_close = true});
+    WorkerEntry again = EngineWorker(sent.worker, {"m1"});
+    again.contents.born = born;
+    m_fixture->Handle(WorkerListed{.entry = again});
+  }
+  m_fixture->effects.clear();
+  m_fixture->ReceiveRequest("/review/poison", "m1");
+  const auto refused = m_fixture->TakeEffects<RefuseRequest>();
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_EQ(refused[0].code, "breaks_workers");
+}
+
 TEST_F(ServingResponses, CloseBeforeAnyEventDoesNotCompleteAStream) {
   for (const bool ended_by_close : {false, true}) {
     m_fixture.emplace();
