Don't reuse a connection whose socket holds unread input

What callers could see: the response to an earlier call taken for the next one's, on connections whose responses bear no id (a worker's report, the store); and 502 for a request that was sent on a connection that its worker had already closed.

Cause: input on an idle connection closes it, but only once the event loop has read it. A call that was started before that in the same iteration of the loop was sent on the connection and got the old response or the end of the stream as its own. The client now looks into the socket before it reuses a connection.

--- a/source/frontends/http/http_client.cc
+++ b/source/frontends/http/http_client.cc
@@ -119,6 +119,12 @@
     if (age >= call.max_idle)
       return nullptr;
     idle.pop_back();
+    // A response that was sent while no call was open must not be taken for
+    // that of this call.
+    if (connection->tcp->HasUnreadInput()) {
+      CloseConnection(connection->id);
+      continue;
+    }
     return connection;
   }
   return nullptr;
--- a/source/frontends/loop/tcp_connection.cc
+++ b/source/frontends/loop/tcp_connection.cc
@@ -176,6 +176,12 @@
                                             : 0;
 }
 
+bool TcpConnection::HasUnreadInput() const {
+  char byte = 0;
+  const ssize_t count = recv(m_fd, &byte, sizeof(byte), MSG_PEEK);
+  return count >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
 void TcpConnection::Send(std::string_view bytes) {
   if (m_closed || bytes.empty())
     return;
--- a/source/frontends/loop/tcp_connection.h
+++ b/source/frontends/loop/tcp_connection.h
@@ -80,6 +80,9 @@
   bool has_sent_bytes() const { return m_has_sent_bytes; }
   // The peer closed its sending side, or the connection failed.
   bool read_closed() const { return m_read_closed; }
+  // Whether the socket has input, an end of stream or an error that the event
+  // loop hasn't handled yet.
+  bool HasUnreadInput() const;
 
  private:
   void StartWatching(int fd, const TcpKeepaliveOptions& keepalive);
--- a/source/unit_tests/frontends/http/http_client_test.cc
+++ b/source/unit_tests/frontends/http/http_client_test.cc
@@ -25,6 +25,12 @@
          "Content-Length: 4\r\n\r\nfull";
 }
 
+std::string Success(const std::string& echo, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nEcho: " + echo +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
 class HttpClientTest : public testing::Test {
  protected:
   HttpClientTest()
@@ -36,6 +42,7 @@
     unsigned status = 0;
     std::string body;
     bool completed = false;
+    bool ended_by_close = false;
     std::optional<CallFailed> failed;
   };
 
@@ -62,14 +69,15 @@
 
   StartCall MakeCall(const std::string& body = "") {
     const CallId id = ++m_last_call_id;
-    return {.id = id,
-            .address = m_server.address(),
-            .pool = "p",
-            .request = SerializeRequest(
-                "POST", "/x",
-                {{"Host", "h"}, {"Request-Id", std::to_string(id)}}, body),
-            .echo_name = "Echo",
-            .echo_value = std::to_string(id)};
+    return StartCall{
+        .id = id,
+        .address = m_server.address(),
+        .pool = "p",
+        .request = SerializeRequest(
+            "POST", "/x", {{"Host", "h"}, {"Request-Id", std::to_string(id)}},
+            body),
+        .echo_name = "Echo",
+        .echo_value = std::to_string(id)};
   }
   // Performs the call and returns its outcome.
   Outcome Perform(StartCall call) {
@@ -99,6 +107,7 @@
   }
   void Handle(const CallCompleted& event) {
     m_outcomes[event.id].completed = true;
+    m_outcomes[event.id].ended_by_close = event.ended_by_close;
   }
   void Handle(const CallFailed& event) { m_outcomes[event.id].failed = event; }
 
@@ -128,5 +137,33 @@
   EXPECT_EQ(Perform(MakeCall()).status, 503U);
 }
 
+// The repeated response to an earlier call had arrived, but wasn't read yet,
+// when the next call began.
+TEST_F(HttpClientTest, ConnectionWithUnreadInputIsNotReused) {
+  m_server.OnRequest([this](const RawServer::Request& request) {
+    m_server.Write(request.connection,
+                   IdOf(request) == "1" ? Refusal("") : Success("", "second"));
+  });
+  const auto without_echo = [this] {
+    StartCall call = MakeCall();
+    call.echo_name.clear();
+    return call;
+  };
+  EXPECT_EQ(Perform(without_echo()).status, 503U);
+  m_loop.Defer([this] { m_server.Write(0, Refusal("")); });
+  EXPECT_EQ(Perform(without_echo()).body, "second");
+  EXPECT_EQ(m_server.connection_count(), 2U);
+}
+
+TEST_F(HttpClientTest, ConnectionThatTheServerHasClosedIsNotReused) {
+  m_server.OnRequest([this](const RawServer::Request& request) {
+    m_server.Write(request.connection, Success(IdOf(request), "x"));
+  });
+  EXPECT_TRUE(Perform(MakeCall()).completed);
+  m_loop.Defer([this] { m_server.Close(0); });
+  EXPECT_TRUE(Perform(MakeCall()).completed);
+  EXPECT_EQ(m_server.connection_count(), 2U);
+}
+
 }  // namespace
 }  // namespace boragepick
--- a/source/unit_tests/frontends/http/raw_server.h
+++ b/source/unit_tests/frontends/http/raw_server.h
@@ -15,6 +15,7 @@
 #include <string_view>
 #include <utility>
 
+#include "frontends/boot_clock.h"
 #include "frontends/http/http_parser.h"
 #include "frontends/loop/event_loop.h"
 #include "frontends/loop/tcp_connection.h"
@@ -42,8 +43,10 @@
   ~RawServer() {
     m_loop.RemoveWatch(m_listener);
     close(m_listener);
-    for (std::size_t i = 0; i < m_connections.size(); ++i)
+    for (std::size_t i = 0; i < m_connections.size(); ++i) {
+      m_connections[i].output.clear();
       Close(i);
+    }
   }
   RawServer(const RawServer&) = delete;
   RawServer& operator=(const RawServer&) = delete;
@@ -69,12 +72,14 @@
     m_connections[connection].watched = true;
   }
   void Write(std::size_t connection, std::string_view bytes) {
-    send(m_connections[connection].fd, bytes.data(), bytes.size(),
-         MSG_NOSIGNAL);
+    m_connections[connection].output += bytes;
+    Flush(connection);
   }
+  // Closes the connection once all bytes are written.
   void Close(std::size_t connection) {
     Connection& closed = m_connections[connection];
-    if (closed.fd < 0)
+    closed.close_requested = true;
+    if (closed.fd < 0 || !closed.output.empty())
       return;
     if (closed.watched)
       m_loop.RemoveWatch(closed.fd);
@@ -95,10 +100,31 @@
     int fd = -1;
     bool watched = false;
     bool closed_by_client = false;
+    bool close_requested = false;
     std::string input;
+    std::string output;
     RequestParser parser{kLimits};
   };
 
+  void Flush(std::size_t index) {
+    Connection& connection = m_connections[index];
+    while (connection.fd >= 0 && !connection.output.empty()) {
+      const ssize_t count = send(connection.fd, connection.output.data(),
+                                 connection.output.size(), MSG_NOSIGNAL);
+      if (count < 0 && errno == EAGAIN) {
+        m_loop.StartTimer(ReadBootClock() + std::chrono::milliseconds(1),
+                          [this, index] { Flush(index); });
+        return;
+      }
+      if (count < 0)
+        connection.output.clear();
+      else
+        connection.output.erase(0, static_cast<std::size_t>(count));
+    }
+    if (connection.close_requested)
+      Close(index);
+  }
+
   void Accept() {
     const int fd =
         accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
