Parse a response whose body arrives after its head

What callers saw: 502, or a retry, for a response with a length whose head arrived alone, before the first byte of its body; the attempt was logged as malformed.

Cause: the parser of responses sets no limit of the body. Boost.Beast 1.74 compares the length with the absent limit, which is less than any number, and reports body_limit at the end of the head. If more bytes follow in the same buffer it parses on and loses the error, so only a head that ends its buffer failed. A request without a limit always failed; the gateways set one. No limit is now the largest number.

Before the fix the test printed: http_test.cc:61: parser.done(), Actual: false, for the split at 38, the head's end http_test.cc:64: ErrorOf("POST ... abc"): 03-00 00-00, ParseError::kNone

--- a/source/frontends/http/http_parser.cc
+++ b/source/frontends/http/http_parser.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
+#include <limits>
 #include <utility>
 
 namespace boragepick {
@@ -35,10 +36,11 @@
     this->eager(true);
     this->header_limit(limits.max_header_bytes);
     max_unparsed_bytes = limits.max_header_bytes;
-    if (limits.max_body_bytes == 0)
-      this->body_limit(boost::none);
-    else
-      this->body_limit(limits.max_body_bytes);
+    // Boost.Beast compares the length with an absent limit as if it were less
+    // than any length.
+    this->body_limit(limits.max_body_bytes == 0
+                         ? std::numeric_limits<std::uint64_t>::max()
+                         : limits.max_body_bytes);
     this->skip(limits.skip_body);
   }
 
--- a/source/unit_tests/frontends/http/http_test.cc
+++ b/source/unit_tests/frontends/http/http_test.cc
@@ -41,6 +41,23 @@
   }
 }
 
+// A response whose head arrived before its body was rejected as too large.
+TEST(HttpParser, ParsesAMessageWithALengthInTwoPiecesWithoutABodyLimit) {
+  const std::string response =
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+  for (std::size_t split = 1; split < response.size(); ++split) {
+    ResponseParser parser({});
+    std::string bytes = response.substr(0, split);
+    parser.Consume(bytes);
+    bytes += response.substr(split);
+    parser.Consume(bytes);
+    EXPECT_TRUE(parser.done()) << split;
+    EXPECT_EQ(parser.TakeBody(), "abc") << split;
+  }
+  EXPECT_EQ(ErrorOf("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"),
+            ParseError::kNone);
+}
+
 TEST(HttpParser, RejectsAmbiguousFramingAndOversizedMessages) {
   EXPECT_EQ(ErrorOf("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
                     "Transfer-Encoding: chunked\r\n\r\n"),
