Test repeated refusals, responses without a length and early responses

What the client of upstreams does with each was not tested. A refusal that is repeated behind the first in the same segment, in pieces or after the connection was returned to the pool ends the connection; one that arrives after the next request, split anywhere, is discarded; a repetition behind a 204, a response to HEAD or one with Connection: close is never taken for the next response. A response without a length is complete only if its connection is closed, not reset, also from HTTP/1.0 and with 9 MiB in one go. The next request on a connection follows the whole rest of a body of 32 MiB that its server hadn't read.

--- a/source/unit_tests/core/serving/serving_responses_test.cc
+++ b/source/unit_tests/core/serving/serving_responses_test.cc
@@ -50,7 +50,7 @@
     m_fixture->RespondHead(first.attempt);
     RespondBytes(first, EventText(1) + EventText(2));
     Reset(first);
-    const SendAttempt second = TakeAttempt();
+    SendAttempt second = TakeAttempt();
     EXPECT_EQ(second.resume_after, 2U);
     return second;
   }
--- a/source/unit_tests/frontends/http/http_client_test.cc
+++ b/source/unit_tests/frontends/http/http_client_test.cc
@@ -3,14 +3,9 @@
 
 #include <gtest/gtest.h>
 
-#include <functional>
-#include <map>
-#include <optional>
 #include <string>
 
-#include "frontends/boot_clock.h"
-#include "frontends/http/http_client.h"
-#include "unit_tests/frontends/http/raw_server.h"
+#include "unit_tests/frontends/http/http_client_fixture.h"
 
 namespace boragepick {
 namespace {
@@ -18,102 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A refusal with the echoed id of a call, or with none.
-std::string Refusal(const std::string& echo) {
-  return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" +
-         (echo.empty() ? "" : "Echo: " + echo + "\r\n") +
-         "Content-Length: 4\r\n\r\nfull";
-}
-
-std::string Success(const std::string& echo, const std::string& body) {
-  return "HTTP/1.1 200 OK\r\nEcho: " + echo +
-         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-         body;
-}
-
-class HttpClientTest : public testing::Test {
- protected:
-  HttpClientTest()
-      : m_server(m_loop), m_client(m_loop, {}, [this](ClientEvent event) {
-          std::visit([this](auto& alternative) { Handle(alternative); }, event);
-        }) {}
-
-  struct Outcome {
-    unsigned status = 0;
-    std::string body;
-    bool completed = false;
-    bool ended_by_close = false;
-    std::optional<CallFailed> failed;
-  };
-
-  // Runs the loop until `done` returns true or five seconds have passed.
-  bool RunUntil(const std::function<bool()>& done) {
-    const TimePoint deadline = ReadBootClock() + seconds(5);
-    std::function<void()> check = [&] {
-      if (done() || ReadBootClock() > deadline)
-        m_loop.Quit();
-      else
-        m_loop.StartTimer(ReadBootClock() + milliseconds(2), check);
-    };
-    m_loop.Defer(check);
-    m_loop.Run();
-    return done();
-  }
-  void RunFor(Duration duration) {
-    const TimePoint until = ReadBootClock() + duration;
-    RunUntil([until] { return ReadBootClock() >= until; });
-  }
-  void After(Duration delay, std::function<void()> action) {
-    m_loop.StartTimer(ReadBootClock() + delay, std::move(action));
-  }
-
-  StartCall MakeCall(const std::string& body = "") {
-    const CallId id = ++m_last_call_id;
-    return StartCall{
-        .id = id,
-        .address = m_server.address(),
-        .pool = "p",
-        .request = SerializeRequest(
-            "POST", "/x", {{"Host", "h"}, {"Request-Id", std::to_string(id)}},
-            body),
-        .echo_name = "Echo",
-        .echo_value = std::to_string(id)};
-  }
-  // Performs the call and returns its outcome.
-  Outcome Perform(StartCall call) {
-    const CallId id = call.id;
-    m_client.Post(std::move(call));
-    EXPECT_TRUE(RunUntil([&] { return HasEnded(id); }));
-    return m_outcomes[id];
-  }
-  bool HasEnded(CallId id) {
-    return m_outcomes[id].completed || m_outcomes[id].failed.has_value();
-  }
-  static std::string IdOf(const RawServer::Request& request) {
-    return *FindField(request.head.fields, "Request-Id");
-  }
-
-  EventLoop m_loop;
-  RawServer m_server;
-  HttpClient m_client;
-  std::map<CallId, Outcome> m_outcomes;
-
- private:
-  void Handle(const CallHeadReceived& event) {
-    m_outcomes[event.id].status = event.head.status;
-  }
-  void Handle(const CallBodyReceived& event) {
-    m_outcomes[event.id].body += event.bytes;
-  }
-  void Handle(const CallCompleted& event) {
-    m_outcomes[event.id].completed = true;
-    m_outcomes[event.id].ended_by_close = event.ended_by_close;
-  }
-  void Handle(const CallFailed& event) { m_outcomes[event.id].failed = event; }
-
-  CallId m_last_call_id = 0;
-};
-
 // A worker repeated a refusal without the request's id: the next request on
 // the connection was reported as not run.
 TEST_F(HttpClientTest, ResponseWithoutIdOnAReusedConnectionProvesNothing) {
@@ -165,5 +64,189 @@
   EXPECT_EQ(m_server.connection_count(), 2U);
 }
 
+// Sends a refusal twice, the second time split at `split` with a pause, and
+// checks that the next call gets its own response.
+class RepeatedRefusal : public HttpClientTest,
+                        public testing::WithParamInterface<std::size_t> {};
+
+TEST_P(RepeatedRefusal, IsNotTakenForTheNextResponse) {
+  for (const Duration delay : {milliseconds(0), milliseconds(5)}) {
+    StartCall refused = MakeCall();
+    const std::string id = refused.echo_value;
+    const std::string refusal = Refusal(id);
+    const std::size_t split = std::min(GetParam(), refusal.size());
+    m_server.OnRequest([&](const RawServer::Request& request) {
+      const std::size_t connection = request.connection;
+      if (IdOf(request) != id)
+        return m_server.Write(connection, Success(IdOf(request), "own"));
+      m_server.Write(connection, refusal + refusal.substr(0, split));
+      After(delay, [this, connection, rest = refusal.substr(split)] {
+        m_server.Write(connection, rest);
+      });
+    });
+    EXPECT_EQ(Perform(std::move(refused)).status, 503U);
+    EXPECT_EQ(Perform(MakeCall()).body, "own");
+    RunFor(milliseconds(10));
+    EXPECT_EQ(Perform(MakeCall()).body, "own");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Splits,
+                         RepeatedRefusal,
+                         testing::Values(0, 1, 9, 40, 60, 75, 1'000));
+
+// The repetition arrives after the next request was sent, whole, with a late
+// body, or behind a delay.
+TEST_F(HttpClientTest, RefusalRepeatedAfterTheNextRequestIsDiscarded) {
+  const std::string refusal = Refusal("1");
+  for (std::size_t split = 1; split <= refusal.size(); ++split) {
+    m_server.OnRequest([&, split](const RawServer::Request& request) {
+      const std::size_t connection = request.connection;
+      const std::string id = IdOf(request);
+      if (id == "1" || connection > 0)
+        return m_server.Write(connection,
+                              id == "1" ? refusal : Success(id, "own"));
+      m_server.Write(connection, refusal.substr(0, split));
+      After(milliseconds(1), [&, connection, split, id] {
+        m_server.Write(connection, refusal.substr(split) + Success(id, "own"));
+      });
+    });
+    if (split == 1) {
+      EXPECT_EQ(Perform(MakeCall()).status, 503U);
+    }
+    const Outcome next = Perform(MakeCall());
+    EXPECT_EQ(next.status, 200U) << split;
+    EXPECT_EQ(next.body, "own") << split;
+  }
+  EXPECT_EQ(m_server.connection_count(), 1U);
+}
+
+TEST_F(HttpClientTest, ResponsesWithoutABodyDontHideARepeatedOne) {
+  for (const bool is_head : {false, true}) {
+    m_server.OnRequest([&](const RawServer::Request& request) {
+      const std::string id = IdOf(request);
+      const bool first =
+          request.connection + 1 == m_server.connection_count() &&
+          m_outcomes[std::stoul(id) - 1].status == 0;
+      m_server.Write(request.connection,
+                     first ? (is_head ? "HTTP/1.1 200 OK\r\nEcho: " + id +
+                                            "\r\nContent-Length: 9\r\n\r\n"
+                                      : "HTTP/1.1 204 No Content\r\nEcho: " +
+                                            id + "\r\n\r\n") +
+                                 Refusal(id)
+                           : Success(id, "own"));
+    });
+    StartCall call = MakeCall();
+    call.head_request = is_head;
+    const Outcome first = Perform(std::move(call));
+    EXPECT_TRUE(first.completed);
+    EXPECT_EQ(first.body, "");
+    EXPECT_EQ(Perform(MakeCall()).body, "own");
+  }
+}
+
+TEST_F(HttpClientTest, ResponseThatClosesTheConnectionIsTheLastOnIt) {
+  m_server.OnRequest([this](const RawServer::Request& request) {
+    const std::string id = IdOf(request);
+    m_server.Write(request.connection,
+                   "HTTP/1.1 200 OK\r\nConnection: close\r\nEcho: " + id +
+                       "\r\nContent-Length: 3\r\n\r\nown" + Refusal(id));
+  });
+  for (std::size_t calls = 1; calls <= 3; ++calls) {
+    EXPECT_EQ(Perform(MakeCall()).body, "own");
+    EXPECT_EQ(m_server.connection_count(), calls);
+  }
+}
+
+TEST_F(HttpClientTest, ConnectionThatEndsInAnEarlierResponseFailsTheCall) {
+  m_server.OnRequest([this](const RawServer::Request& request) {
+    if (IdOf(request) == "1")
+      return m_server.Write(request.connection, Refusal("1"));
+    m_server.Write(request.connection, "HTTP/1.1 200 OK\r\nEcho: 1\r\n\r\nold");
+    m_server.Close(request.connection);
+  });
+  EXPECT_EQ(Perform(MakeCall()).status, 503U);
+  const Outcome next = Perform(MakeCall());
+  EXPECT_EQ(next.status, 0U);
+  ASSERT_TRUE(next.failed);
+  EXPECT_TRUE(next.failed->sent);
+}
+
+// How a response without a length ends.
+enum class End { kClose, kReset };
+
+struct UnframedCase {
+  std::string bytes;
+  End end = End::kClose;
+  // The body of a complete response.
+  std::optional<std::string> body;
+};
+
+TEST_F(HttpClientTest, ResponseWithoutALengthIsCompleteOnlyIfItIsClosed) {
+  const std::string head = "HTTP/1.1 200 OK\r\nEcho: 1\r\n\r\n";
+  const std::string http10 = "HTTP/1.0 200 OK\r\n";
+  const std::string large(300 << 10, 'x');
+  const std::string larger(9 << 20, 'y');
+  const std::vector<UnframedCase> cases{
+      {.bytes = head + "abc", .body = "abc"},
+      {.bytes = head, .body = ""},
+      {.bytes = http10 + "\r\nabc", .body = "abc"},
+      {.bytes = http10 + "Connection: keep-alive\r\n\r\nabc", .body = "abc"},
+      {.bytes = head + large, .body = large},
+      {.bytes = head + larger, .body = larger},
+      {.bytes = ""},
+      {.bytes = "HTTP/1.1 200 OK\r\nEc"},
+      {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc"},
+      {.bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "3\r\nabc\r\n"},
+      {.bytes = head + "abc", .end = End::kReset},
+      {.bytes = "", .end = End::kReset},
+  };
+  for (const UnframedCase& unframed : cases) {
+    m_server.OnRequest([&](const RawServer::Request& request) {
+      m_server.Write(request.connection, unframed.bytes);
+      if (unframed.end == End::kReset)
+        m_server.Reset(request.connection);
+      else
+        m_server.Close(request.connection);
+    });
+    StartCall call = MakeCall();
+    call.echo_name.clear();
+    const std::size_t connections = m_server.connection_count();
+    const Outcome outcome = Perform(std::move(call));
+    const std::string name = unframed.bytes.substr(0, 80);
+    EXPECT_EQ(m_server.connection_count(), connections + 1) << name;
+    EXPECT_EQ(outcome.completed, unframed.body.has_value()) << name;
+    EXPECT_EQ(outcome.ended_by_close, unframed.body.has_value()) << name;
+    if (unframed.body)
+      EXPECT_TRUE(outcome.body == *unframed.body) << name;
+    else
+      EXPECT_EQ(outcome.failed->failure, CallFailure::kReset) << name;
+  }
+}
+
+// A worker that responds before it reads a long body gets the rest of that body
+// before the next request.
+TEST_F(HttpClientTest, NextRequestFollowsTheWholeBodyOfAnUnreadOne) {
+  m_server.OnAccepted([this](std::size_t connection) {
+    m_server.Write(connection, Refusal("1"));
+    return false;
+  });
+  std::vector<RawServer::Request> requests;
+  m_server.OnRequest([&](const RawServer::Request& request) {
+    requests.push_back(request);
+    if (IdOf(request) != "1")
+      m_server.Write(request.connection, Success(IdOf(request), "own"));
+  });
+  const std::string body(32 << 20, 'b');
+  EXPECT_EQ(Perform(MakeCall(body)).status, 503U);
+  After(milliseconds(20), [this] { m_server.StartReading(0); });
+  EXPECT_EQ(Perform(MakeCall("next")).body, "own");
+  EXPECT_EQ(m_server.connection_count(), 1U);
+  ASSERT_EQ(requests.size(), 2U);
+  EXPECT_TRUE(requests[0].body == body);
+  EXPECT_EQ(requests[1].body, "next");
+}
+
 }  // namespace
 }  // namespace boragepick
--- a/source/unit_tests/frontends/http/raw_server.h
+++ b/source/unit_tests/frontends/http/raw_server.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -94,8 +95,6 @@
   }
 
  private:
-  static constexpr ParserLimits kLimits{.max_body_bytes = 64 << 20};
-
   struct Connection {
     int fd = -1;
     bool watched = false;
@@ -103,7 +102,7 @@
     bool close_requested = false;
     std::string input;
     std::string output;
-    RequestParser parser{kLimits};
+    RequestParser parser{ParserLimits{}};
   };
 
   void Flush(std::size_t index) {
@@ -130,6 +129,8 @@
         accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0)
       return;
+    const int no_delay = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &no_delay, sizeof(no_delay));
     const std::size_t connection = m_connections.size();
     m_connections.emplace_back().fd = fd;
     if (!m_on_accepted || m_on_accepted(connection))
@@ -156,7 +157,7 @@
       const Request request{.connection = index,
                             .head = connection.parser.head(),
                             .body = connection.parser.TakeBody()};
-      connection.parser = RequestParser(kLimits);
+      connection.parser = RequestParser(ParserLimits{});
       if (m_on_request)
         m_on_request(request);
     }
