Reject worker entries whose address is not an IPv4 address and a port

What callers saw: an entry with the address "10.0.0.1:99999", ":80" or "host.example:80" was a worker like others. Requests were routed to it, and each such attempt failed before it was sent (HttpClient could not parse the address). Load requests went to the controller at the part before the last colon, 200,000 bytes of it if need be.

Cause: DecodeWorker took any text as the address.

Change: common/endpoint parses the address of a single host ("ip:port", IPv4, port from 1, no group or broadcast address), and DecodeWorker rejects an entry without one. An entry that is rejected already names no worker.

--- a/source/frontends/settings.h
+++ b/source/frontends/settings.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "common/endpoint.h"
+
 namespace boragepick {
 
 template <typename Value>
@@ -160,10 +162,6 @@
 // Returns a commented settings file with all defaults.
 std::string DefaultSettingsText();
 
-struct Endpoint {
-  std::string ip;
-  std::uint16_t port = 0;
-};
 // Parses "ip:port". Throws Error at Step::kSettings.
 Endpoint ParseEndpoint(const std::string& text);
 
