Drop messages to an endpoint that is not an address and a port

What callers saw: nothing yet. The endpoints of messages between processes come from worker entries, router records and received frames. zmq_connect throws for some invalid ones, which the task logs as before, but takes others: it cuts the text at a NUL, takes the port -1 or 0 and a text of 200,000 bytes, and looks up host names in the thread that all sockets share. Each got a socket that reconnects for ever, without a log line.

Change: PeerTask sends to "ip:port" only and logs the rest as rejected.

Without it the new test fails: the message to the valid endpoint arrives, but logged.size() is 6, invalid.size() 13 (without the host name, which was added later). With it the test passes (9 ms).

--- a/source/frontends/peer_task.cc
+++ b/source/frontends/peer_task.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <string_view>
 
+#include "common/endpoint.h"
 #include "common/error.h"
 #include "wire/peer_codec.h"
 
@@ -102,6 +103,13 @@
 }
 
 void PeerTask::On(const SendToEndpoint& message) {
+  // ZeroMQ would ignore what follows a NUL and look up host names.
+  if (!ParseHostEndpoint(message.endpoint)) {
+    m_callbacks.log({.event = LogEvent::kPeerFrameRejected,
+                     .fields = {{"peer", message.endpoint},
+                                {"detail", "the endpoint is not ip:port"}}});
+    return;
+  }
   try {
     OutgoingSocket& outgoing = GetOrConnect(message.endpoint);
     outgoing.last_used = ++m_send_count;
