Reject router records whose endpoint is not an address and a port

What callers saw: nothing yet. A record under the routers' keys with another endpoint, written by someone else, was a router like others: it counted in the division of the quotas and was named to controllers as a coordinator of load slots, and each message to it was dropped.

Change: DecodeRouterRecord throws Error, so that the record is logged and ignored, like any other that can't be decoded.

Without it the new test fails for each of its four endpoints: Expected: DecodeRouterRecord(EncodeValue(odd)) throws an exception of type Error. Actual: it throws nothing. With it the test passes.

--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -199,6 +199,20 @@
   EXPECT_EQ(decoded.entries.at("id").answer, page.entries.at("id").answer);
 }
 
+TEST(RecordCodec, ARouterRecordWithoutAReachableEndpointIsRejected) {
+  const RouterRecord record{.vm = "g1",
+                            .data_centre = "a",
+                            .endpoint = "10.0.0.1:7000",
+                            .incarnation = 7};
+  EXPECT_EQ(DecodeRouterRecord(EncodeValue(record)), record);
+  for (const std::string endpoint :
+       {"", "g1:7000", "10.0.0.1:99999", "10.0.0.1"}) {
+    RouterRecord odd = record;
+    odd.endpoint = endpoint;
+    EXPECT_THROW(DecodeRouterRecord(EncodeValue(odd)), Error) << endpoint;
+  }
+}
+
 TEST(CallerCodec, KeysAreHashedAndNotForwarded) {
   const CallerRequest request =
       DecodeCallerRequest({.method = "GET",
--- a/source/wire/record_codec.cc
+++ b/source/wire/record_codec.cc
@@ -4,6 +4,8 @@
 
 #include <charconv>
 
+#include "common/endpoint.h"
+
 namespace boragepick {
 
 namespace {
@@ -296,6 +298,9 @@
   wire::RouterRecord in;
   FromJson(value, in, UnknownFields::kIgnore, Step::kDecodePlatformReply,
            "router record");
+  if (!ParseHostEndpoint(in.endpoint()))
+    throw Error(Step::kDecodePlatformReply, "router record",
+                "the endpoint is not ip:port: " + in.endpoint());
   return {.vm = in.vm(),
           .data_centre = in.data_centre(),
           .endpoint = in.endpoint(),
