Test that deeply nested JSON ends no decoder of the wire formats

The decoders of the operators' API and of the key-value service use the JSON parser of protobuf. The new test gives them up to 500,000 levels of arrays and objects, balanced or not, at the top and in a field.

--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -213,6 +213,25 @@
   }
 }
 
+TEST(Codecs, DeeplyNestedJsonThrowsOnlyError) {
+  constexpr std::size_t kLevels = 500'000;
+  std::string objects;
+  for (std::size_t i = 0; i < kLevels; ++i)
+    objects += "{\"a\":";
+  const std::string arrays(kLevels, '[');
+  for (const std::string& nested :
+       {arrays + std::string(kLevels, ']'), arrays,
+        objects + "1" + std::string(kLevels, '}'), objects}) {
+    const std::string text = "{\"kvs\":" + nested + "}";
+    DecodesOrThrowsError([&] { DecodeResourceDocument(nested); });
+    DecodesOrThrowsError([&] { DecodeResourceDocument(text); });
+    DecodesOrThrowsError([&] { DecodeRouterRecord(text); });
+    DecodesOrThrowsError([&] { DecodeFeedSnapshot(text); });
+    DecodesOrThrowsError([&] { DecodeWatchLine(text); });
+    DecodesOrThrowsError([&] { DecodeProbe(text); });
+  }
+}
+
 TEST(CallerCodec, KeysAreHashedAndNotForwarded) {
   const CallerRequest request =
       DecodeCallerRequest({.method = "GET",
