Cut long values in the log and hide control characters

What operators saw: the errors of the decoders quote the document, for example a state of a megabyte, and the log line quoted all of it. With a NUL in the key, which any writer can choose, the line ended there: the detail and the line break were lost. Other control characters reached the terminal.

Change: LogTask cuts the values of fields at 1,024 bytes before it queues a record, and control characters are written as spaces, as line breaks were.

--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -8,17 +8,24 @@
 
 namespace {
 
+// A record is always one line, even if a peer's text contains line breaks, and
+// shows no control characters to a terminal.
+bool IsControl(char c) {
+  constexpr char kDelete = 0x7f;
+  return (c >= 0 && c < ' ') || c == kDelete;
+}
+
 std::string Quoted(const std::string& value) {
-  const bool plain =
-      !value.empty() && value.find_first_of(" \"=\n\r") == std::string::npos;
+  const bool plain = !value.empty() &&
+                     value.find_first_of(" \"=") == std::string::npos &&
+                     std::ranges::none_of(value, IsControl);
   if (plain)
     return value;
   std::string quoted = "\"";
   for (const char c : value) {
     if (c == '"' || c == '\\')
       quoted += '\\';
-    // A record is always one line, even if a peer's text contains line breaks.
-    quoted += (c == '\n' || c == '\r') ? ' ' : c;
+    quoted += IsControl(c) ? ' ' : c;
   }
   return quoted + '"';
 }
--- a/source/frontends/log_task.cc
+++ b/source/frontends/log_task.cc
@@ -28,6 +28,18 @@
   el::Loggers::reconfigureLogger("default", configuration);
 }
 
+// Values can come from a peer and be of any length.
+void LimitFields(LogRecord& record) {
+  constexpr std::string_view kEllipsis = "...";
+  for (LogField& field : record.fields) {
+    if (field.value.size() <= LogTask::kMaxFieldBytes)
+      continue;
+    field.value.resize(LogTask::kMaxFieldBytes - kEllipsis.size());
+    field.value += kEllipsis;
+    field.value.shrink_to_fit();
+  }
+}
+
 void Write(const LogRecord& record) {
   const std::string line = FormatLogRecord(record);
   switch (LogEventInfo(record.event).level) {
@@ -63,6 +75,7 @@
     ++m_dropped;
     return;
   }
+  LimitFields(record);
   ++m_queued;
   m_mailbox.Post(std::move(record));
 }
--- a/source/frontends/log_task.h
+++ b/source/frontends/log_task.h
@@ -31,6 +31,8 @@
   void SetDecisions(bool decisions) { m_decisions = decisions; }
 
   static constexpr std::size_t kMaxQueuedRecords = 10'000;
+  // Longer values of fields are cut.
+  static constexpr std::size_t kMaxFieldBytes = 1'024;
   std::uint64_t dropped() const { return m_dropped; }
 
  private:
--- a/source/unit_tests/frontends/log_format_test.cc
+++ b/source/unit_tests/frontends/log_format_test.cc
@@ -33,5 +33,23 @@
   std::filesystem::remove(file);
 }
 
+TEST(LogFormat, AFieldOfAMegabyteIsCutInTheLog) {
+  const std::string file = testing::TempDir() + "/log_format_cut_test.log";
+  std::filesystem::remove(file);
+  {
+    LogTask log(file, /*decisions=*/true);
+    log.Post({.event = LogEvent::kConfigRejected,
+              .fields = {{"key", std::string("a\0\x1b[2J\tb", 8)},
+                         {"detail", std::string(1'000'000, 'x')}}});
+  }
+  std::ostringstream text;
+  text << std::ifstream(file).rdbuf();
+  EXPECT_LT(text.str().size(), 2 * LogTask::kMaxFieldBytes);
+  EXPECT_NE(text.str().find("key=\"a  [2J b\" detail=xxx"), std::string::npos)
+      << text.str();
+  EXPECT_TRUE(text.str().ends_with("x...\n"));
+  std::filesystem::remove(file);
+}
+
 }  // namespace
 }  // namespace boragepick
