Log an item that can't be decoded once, not at each write

What operators saw: another writer that refreshes an odd entry like a worker its own makes each gateway log the same rejection with each heartbeat.

Change: the gateway remembers the keys whose items it rejected, and logs again only after the key's item was accepted or removed. Configurations are still logged by revision. What names a worker is unchanged.

There was nothing to test before: the new class has a test of its own (passes). The process itself was not run with an odd entry for this commit.

--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -13,6 +13,7 @@
 #include "common/hashing.h"
 #include "core/engine/engine_controller.h"
 #include "core/serving/serving_router.h"
+#include "core/store/rejected_keys.h"
 #include "frontends/log_task.h"
 #include "frontends/loop/cross_thread_mailbox.h"
 #include "frontends/loop/loop_machine_task.h"
@@ -316,9 +317,11 @@
             .revision = static_cast<Revision>(item.revision)});
       else if (item.key.starts_with(kFeedPrefix))
         HandleSharePage(item);
+      m_rejected_keys.Remove(item.key);
     } catch (const Error& error) {
-      this->Log(LogEvent::kConfigRejected,
-                {{"key", item.key}, {"detail", error.what()}});
+      if (m_rejected_keys.Add(item.key))
+        this->Log(LogEvent::kConfigRejected,
+                  {{"key", item.key}, {"detail", error.what()}});
       // A worker whose entry can't be decoded is not used.
       if (item.key.starts_with(Protocol::kWorkerPrefix))
         m_machine.Post(WorkerUnlisted{.id = WorkerIdFromKey(item.key)});
@@ -344,6 +347,7 @@
           .config = std::make_shared<const ConfigIndex>(std::move(*config))});
   }
   void Handle(const std::string& /*prefix*/, const KeyRemoved& removed) {
+    m_rejected_keys.Remove(removed.key);
     if (removed.key.starts_with(Protocol::kWorkerPrefix))
       m_machine.Post(WorkerUnlisted{.id = WorkerIdFromKey(removed.key)});
     else if (removed.key.starts_with(kRouterPrefix))
@@ -352,6 +356,7 @@
           .revision = static_cast<Revision>(removed.revision)});
   }
   void Handle(const std::string& /*prefix*/, const KeysSynced& synced) {
+    m_rejected_keys.Retain(synced.keys);
     WorkersSynced workers;
     RouterRecordsSynced routers{.revision =
                                     static_cast<Revision>(synced.revision)};
@@ -394,6 +399,7 @@
   StatusServer m_ready_server;
   StatusServer m_metrics_server;
   ProcessSignals m_signals;
+  RejectedKeys m_rejected_keys;
   bool m_ready = false;
   // Whether the latest configuration could be decoded. It is confirmed as the
   // newest only if so.
--- a/source/unit_tests/core/store/key_watcher_test.cc
+++ b/source/unit_tests/core/store/key_watcher_test.cc
@@ -1,4 +1,4 @@
-// KeyWatcher and LeasedRecord.
+// KeyWatcher, LeasedRecord and RejectedKeys.
 
 #include <gtest/gtest.h>
 
@@ -11,6 +11,7 @@
 #include "common/random.h"
 #include "core/store/key_watcher.h"
 #include "core/store/leased_record.h"
+#include "core/store/rejected_keys.h"
 
 namespace boragepick {
 namespace {
@@ -205,5 +206,17 @@
   EXPECT_TRUE(std::holds_alternative<GrantLease>(*record.Tick(now)));
 }
 
+TEST(RejectedKeys, AnItemWrittenAgainAndAgainIsReportedOnce) {
+  RejectedKeys keys;
+  EXPECT_TRUE(keys.Add("a"));
+  EXPECT_FALSE(keys.Add("a"));
+  EXPECT_TRUE(keys.Add("b"));
+  keys.Remove("a");
+  EXPECT_TRUE(keys.Add("a"));
+  keys.Retain({"a"});
+  EXPECT_FALSE(keys.Add("a"));
+  EXPECT_TRUE(keys.Add("b"));
+}
+
 }  // namespace
 }  // namespace boragepick
