--- a/source/unit_tests/frontends/http/http_fixture.h
+++ b/source/unit_tests/frontends/http/http_fixture.h
@@ -76,6 +76,7 @@
     }
     return m_received;
   }
+  void Clear() { m_received.clear(); }
   bool HasEnded() {
     Received();
     return m_ended;
--- a/source/unit_tests/frontends/http/http_server_test.cc
+++ b/source/unit_tests/frontends/http/http_server_test.cc
@@ -11,6 +11,7 @@
 #include <thread>
 #include <vector>
 
+#include "common/random.h"
 #include "unit_tests/frontends/http/http_fixture.h"
 
 namespace boragepick {
@@ -243,5 +244,71 @@
   EXPECT_LT(ReadBootClock() - closed_at, milliseconds(100));
 }
 
+// Clients that reuse their connections by the idle limit that they know, while
+// the limit changes and handlers block the loop.
+TEST_F(HttpServerTest, EachRequestIsAnsweredWhileLimitsChange) {
+  constexpr std::size_t kClients = 24;
+  constexpr Duration kDuration = milliseconds(2'500);
+  constexpr std::uint64_t kSeed = 20261204;
+  Random random(kSeed);
+  const auto random_limit = [&random] {
+    return milliseconds(200 + random.Below(600));
+  };
+  struct Client {
+    std::unique_ptr<RawClient> connection;
+    std::size_t sent = 0;
+    std::size_t received = 0;
+    TimePoint next_request;
+    // The connection is used until then.
+    TimePoint reusable_until;
+  };
+  Duration known_limit = random_limit();
+  Serve({.idle_timeout = known_limit}, [&](ExchangeId id, const HttpMessage&) {
+    if (random.Below(40) == 0)
+      std::this_thread::sleep_for(milliseconds(150));
+    m_server->Post(SendHttpResponse{.id = id, .body = "!"});
+  });
+  std::vector<Client> clients(kClients);
+  std::size_t lost = 0;
+  const TimePoint end = ReadBootClock() + kDuration;
+  TimePoint next_change = ReadBootClock();
+  RunUntil([&] {
+    const TimePoint now = ReadBootClock();
+    if (now >= next_change) {
+      known_limit = random_limit();
+      m_server->Post(ServerLimits{.idle_timeout = known_limit});
+      next_change = now + milliseconds(100);
+    }
+    for (Client& client : clients) {
+      if (client.connection && client.received < client.sent) {
+        const std::string& bytes = client.connection->Received();
+        client.received += bytes.ends_with("!") ? 1 : 0;
+        if (client.received < client.sent && !client.connection->HasEnded())
+          continue;
+        if (client.received < client.sent) {
+          ++lost;
+          client.received = client.sent;
+        }
+        client.reusable_until = now + known_limit * 4 / 5;
+        client.next_request = now + milliseconds(random.Below(700));
+      }
+      if (now < client.next_request || now >= end)
+        continue;
+      if (!client.connection || now > client.reusable_until)
+        client.connection = std::make_unique<RawClient>(m_endpoint);
+      client.connection->Clear();
+      client.connection->Send(kRequest);
+      ++client.sent;
+    }
+    return now >= end && std::ranges::all_of(clients, [](const Client& client) {
+             return client.received == client.sent;
+           });
+  });
+  EXPECT_EQ(lost, 0U);
+  for (const Client& client : clients)
+    EXPECT_EQ(client.received, client.sent);
+  EXPECT_TRUE(m_unanswered_closes.empty());
+}
+
 }  // namespace
 }  // namespace boragepick
