Report an unanswered connection once

A client that goes on sending on a connection that the server has closed wrote a line E0210 for each read. The connection is now reported once; ReportsARequestThatArrives- AfterTheLastResponse sends three more requests and still expects one report.

--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -50,6 +50,8 @@
   bool closing = false;
   // Why the connection is being closed.
   ConnectionEnd end = ConnectionEnd::kClosedByClient;
+  // Whether on_unanswered_close was called for the connection.
+  bool is_reported = false;
   // When the connection was accepted, bytes were last received, a response
   // ended, or closing began.
   TimePoint last_progress;
@@ -168,12 +170,12 @@
   m_handlers.on_disconnected(exchange, reason);
 }
 
-void HttpServer::ReportIfUnanswered(const Connection& connection,
+void HttpServer::ReportIfUnanswered(Connection& connection,
                                     ConnectionEnd reason) {
   // The remaining input of a rejected request has its response, and a client
   // that left expects none.
   if (reason == ConnectionEnd::kRequestRejected ||
-      reason == ConnectionEnd::kClosedByClient)
+      reason == ConnectionEnd::kClosedByClient || connection.is_reported)
     return;
   const UnansweredClose close{
       .reason = reason,
@@ -184,6 +186,7 @@
   if (!close.is_exchange_open && close.unparsed_bytes == 0 &&
       close.unread_bytes == 0)
     return;
+  connection.is_reported = true;
   ++m_unanswered_closes[reason];
   if (m_handlers.on_unanswered_close)
     m_handlers.on_unanswered_close(close);
--- a/source/frontends/http/http_server.h
+++ b/source/frontends/http/http_server.h
@@ -159,8 +159,8 @@
   // Closes the connection at once, with the exchange on it, if any.
   void Disconnect(ConnectionId id, ConnectionEnd reason);
   void RemoveConnection(ConnectionId id);
-  // Reports the connection if a request on it gets no response.
-  void ReportIfUnanswered(const Connection& connection, ConnectionEnd reason);
+  // Reports the connection, once, if a request on it gets no response.
+  void ReportIfUnanswered(Connection& connection, ConnectionEnd reason);
   // Whether the connection, or the request being received on it, has used its
   // time.
   bool IsExpired(TimePoint now, const Connection& connection) const;
--- a/source/unit_tests/frontends/http/http_server_test.cc
+++ b/source/unit_tests/frontends/http/http_server_test.cc
@@ -54,6 +54,10 @@
   RawClient client(m_endpoint);
   client.Send(kRequest + kRequest);
   ASSERT_TRUE(RunUntil([&] { return client.HasEnded(); }));
+  for (int i = 0; i < 3; ++i) {
+    client.Send(kRequest);
+    RunFor(milliseconds(10));
+  }
   ASSERT_EQ(m_unanswered_closes.size(), 1U);
   EXPECT_EQ(m_unanswered_closes[0].reason, ConnectionEnd::kResponseComplete);
 }
