Log runs that end with the connection to their worker

What a crash and its requests have in common could not be read from the logs: a broken run left worker_suspected (E0611) only, without the worker's start time, the parts of the prompt, or whether the answer had begun. So it was open whether requests that crash workers share a part of their prompts, whether some routers miss crashes, or whether sound requests are refused because they waited at several crashed workers.

--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -84,6 +84,10 @@
       {LogEvent::kAcceptPaused, kWarning, kFront, "accept_paused",
        "New connections wait because the connection limit is reached or "
        "accept() failed; repeated at most every ten seconds."},
+      {LogEvent::kRunBroken, kWarning, kRouting, "run_broken",
+       "The connection to a worker broke while a request ran there; fields "
+       "give the worker process, whether the answer had begun, and the parts "
+       "of the prompt."},
       {LogEvent::kLoadStarted, kInfo, kPlacement, "load_started",
        "The agent ordered the engine to load a model."},
       {LogEvent::kLoadFinished, kInfo, kPlacement, "load_finished",
--- a/source/common/log_event.h
+++ b/source/common/log_event.h
@@ -60,6 +60,7 @@
   kRequestTimedOut = 209,
   kUnansweredClose = 210,
   kAcceptPaused = 211,
+  kRunBroken = 212,
   kLoadStarted = 300,
   kLoadFinished = 301,
   kLoadFailed = 302,
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -260,27 +260,6 @@
   CloseAttempt(exchange);
 }
 
-void RequestTable::RecordSuspectedCrash(TimePoint now,
-                                        const Exchange& exchange) {
-  const Worker* worker = m_state.workers.Find(exchange.attempt->worker);
-  if (worker == nullptr)
-    return;
-  const auto notice = m_crash_suspects.RecordBrokenRun(
-      now, exchange, worker->entry.id, worker->entry.contents.born);
-  if (!notice)
-    return;
-  if (m_crash_suspects.ShouldRefuse(now, exchange))
-    m_state.Log(LogEvent::kFingerprintConvicted,
-                {{"request", exchange.request->trace_id},
-                 {"team", exchange.team},
-                 {"crash", notice->crash}});
-  m_state.fleet.Broadcast(*notice);
-}
-
-void RequestTable::OnCrashNotice(TimePoint now, const CrashNotice& notice) {
-  m_crash_suspects.ApplyNotice(now, notice);
-}
-
 void RequestTable::OnAttemptFailed(TimePoint now,
                                    AttemptNumber number,
                                    AttemptFailure failure) {
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -32,6 +32,8 @@
   std::uint64_t resumed = 0;
   std::uint64_t cancelled = 0;
   std::uint64_t aborted = 0;
+  // Runs that ended with the connection to their worker.
+  std::uint64_t broken_runs = 0;
   // From arrival until the response begins, and until it is complete.
   LatencyHistogram first_byte;
   LatencyHistogram whole_answer;
--- a/source/core/serving/serving_request.h
+++ b/source/core/serving/serving_request.h
@@ -14,11 +14,15 @@
 namespace boragepick {
 
 // A part of a prompt; parts with equal ids have equal text.
+using PromptPartId = std::uint64_t;
 struct PromptPart {
-  std::uint64_t id = 0;
+  PromptPartId id = 0;
   std::uint32_t tokens = 0;
 };
 
+// Returns the id in hexadecimal, as in the callers' requests.
+std::string PromptPartName(PromptPartId id);
+
 struct ServingRequest {
   RequestId id = 0;
   // The request id chosen by the caller; logged and passed to the upstream.
--- a/source/frontends/serving/serving_metrics.cc
+++ b/source/frontends/serving/serving_metrics.cc
@@ -50,6 +50,7 @@
   writer.Add("resumed_total", metrics.resumed);
   writer.Add("cancelled_total", metrics.cancelled);
   writer.Add("aborted_total", metrics.aborted);
+  writer.Add("broken_runs_total", metrics.broken_runs);
   for (const auto& [refusal, count] : metrics.refused) {
     writer.Add(
         "refused_total", count,
