Refuse requests with a part of the prompt that crashes workers

Cause: evidence about crashes was kept by the whole request (team, target and body). No two of these requests are alike, so their crashes never added up.

Change: evidence is kept by part of the prompt, merged over the routers by crash notices with new optional fields, and cleared by answers that begin after a crash and go on. Four separate crashes convict a part. The crashes that it explains no longer count against other parts or whole requests, and its requests that wait at workers are cancelled. While several parts come into question, single requests with some of them tell them apart. Probes, at most one a turn in the fleet, find out when a part is sound again. A router that starts is sent the evidence. Why this works: the guilty part is in a broken run at each crash and never in an answer that goes on; for sound parts with traffic it is the other way round.

--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -88,6 +88,15 @@
        "The connection to a worker broke while a request ran there; fields "
        "give the worker process, whether the answer had begun, and the parts "
        "of the prompt."},
+      {LogEvent::kPartConvicted, kWarning, kRouting, "part_convicted",
+       "A part of prompts crashed workers repeatedly; requests with it are "
+       "refused from now on; fields give the crashes."},
+      {LogEvent::kPartCleared, kInfo, kRouting, "part_cleared",
+       "An answer with a suspected or convicted part of a prompt began and "
+       "went on; crashes before it no longer count against the part."},
+      {LogEvent::kPartProbed, kInfo, kRouting, "part_probed",
+       "One request with a convicted part of a prompt is let through, to "
+       "find out whether the part still crashes workers."},
       {LogEvent::kLoadStarted, kInfo, kPlacement, "load_started",
        "The agent ordered the engine to load a model."},
       {LogEvent::kLoadFinished, kInfo, kPlacement, "load_finished",
--- a/source/core/scheduling/quarantine.cc
+++ b/source/core/scheduling/quarantine.cc
@@ -32,6 +32,13 @@
   return is_new;
 }
 
+void Quarantine::RemoveCrash(const std::string& crash) {
+  for (auto& [fingerprint, entry] : m_entries)
+    entry.crashes.erase(crash);
+  std::erase_if(m_entries,
+                [](const auto& entry) { return entry.second.crashes.empty(); });
+}
+
 void Quarantine::RemoveExpired(TimePoint now) {
   std::erase_if(m_entries, [&](const auto& entry) {
     return now - entry.second.last_crash >= kEntryLifetime;
--- a/source/core/scheduling/quarantine.h
+++ b/source/core/scheduling/quarantine.h
@@ -13,6 +13,7 @@
 
 #include "common/enum_table.h"
 #include "common/time.h"
+#include "core/scheduling/request.h"
 
 namespace boragepick {
 
@@ -35,6 +36,12 @@
   std::string crash;
   // The request has since run to completion; `crash` is empty.
   bool cleared = false;
+  // Parts of the prompt of a run that the crash broke, or, with `cleared`,
+  // parts with which an answer has begun and gone on. The fingerprint is 0 if
+  // only the parts are accused or cleared.
+  std::vector<PromptPartId> parts;
+  // Time since the crash, or since the beginning of the answer.
+  Duration age = Duration::zero();
 };
 
 class Quarantine {
@@ -49,6 +56,9 @@
   // Returns whether the notice changed an entry.
   bool Apply(TimePoint now, const CrashNotice& notice);
 
+  // Removes a crash that has another cause from all entries.
+  void RemoveCrash(const std::string& crash);
+
   std::size_t Size() const { return m_entries.size(); }
 
  private:
--- a/source/core/scheduling/request.h
+++ b/source/core/scheduling/request.h
@@ -14,6 +14,9 @@
 // Unique within one router.
 using RequestId = std::uint64_t;
 
+// Identifies a part of a prompt; parts with equal ids have equal text.
+using PromptPartId = std::uint64_t;
+
 enum class Method { kGet, kHead, kPost, kPut, kPatch, kDelete };
 
 inline constexpr EnumTable kMethodNames{std::array{
--- a/source/core/serving/crash_suspects.h
+++ b/source/core/serving/crash_suspects.h
@@ -1,14 +1,17 @@
-// Detects requests that crash workers. A request whose attempts broke the
-// connections of several workers, and that never completed, is refused at every
-// router, so that retries do not take down the fleet one worker at a time.
+// Detects requests that crash workers, so that retries and further requests do
+// not take down the fleet one worker at a time. A request is refused at every
+// router if its attempts broke the connections of several workers and it never
+// completed, or if its prompt has a part that crashes workers.
 #pragma once
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "common/time.h"
 #include "core/scheduling/quarantine.h"
 #include "core/serving/exchange.h"
+#include "core/serving/prompt_part_suspects.h"
 
 namespace boragepick {
 
@@ -25,16 +28,43 @@
                                              const Exchange& exchange,
                                              const std::string& worker,
                                              std::int64_t born);
+  // Records that more of the response to the current attempt was received, or
+  // that it is complete. Returns the notice to broadcast if it clears parts of
+  // the prompt.
+  std::optional<CrashNotice> RecordProgress(TimePoint now,
+                                            const Exchange& exchange,
+                                            bool complete = false);
   // Records that the request completed, which clears it of suspicion.
   std::optional<CrashNotice> RecordCompletedRun(TimePoint now,
                                                 const Exchange& exchange);
   // Applies a notice from another router.
   void ApplyNotice(TimePoint now, const CrashNotice& notice);
 
-  bool ShouldRefuse(TimePoint now, const Exchange& exchange);
+  // Whether the request itself is convicted.
+  bool IsConvicted(TimePoint now, const Exchange& exchange);
+  // Returns a convicted part of the prompt, unless the request may probe it.
+  std::optional<PromptPartId> FindConvictedPart(TimePoint now,
+                                                const Exchange& exchange,
+                                                const ProbeGroup& group);
+
+  // Returns the parts that were convicted since the last call.
+  std::vector<PromptPartId> TakeNewConvictions() {
+    return m_parts.TakeNewConvictions();
+  }
+  // Returns the part for which a probe was allowed since the last call.
+  std::optional<PromptPartId> TakeNewProbe() { return m_parts.TakeNewProbe(); }
+  // Returns notices from which another router derives the convictions of parts.
+  std::vector<CrashNotice> ConvictionNotices(TimePoint now) const;
+
+  const PromptPartSuspects& parts() const { return m_parts; }
 
  private:
+  // Withdraws crashes that convicted parts explain from the evidence against
+  // whole requests.
+  void RemoveExplainedCrashes();
+
   Quarantine m_quarantine{kCrashesToRefuse};
+  PromptPartSuspects m_parts;
 };
 
 }  // namespace boragepick
--- a/source/core/serving/exchange.h
+++ b/source/core/serving/exchange.h
@@ -73,6 +73,8 @@
   std::optional<std::uint64_t> last_event;
   // Whether an event or a byte of the response body was received.
   bool body_started = false;
+  // When the first byte of a successful response's body was received.
+  TimePoint begun_at = kNever;
   TimePoint last_progress;
 };
 
@@ -108,6 +110,8 @@
   std::set<std::string> tried_workers;
   // Workers that this request was sent to.
   std::set<std::string> contacted_workers;
+  // The part of the prompt for which the request is refused.
+  std::optional<PromptPartId> convicted_part;
 
   // Whether the response head was sent to the caller.
   bool head_sent = false;
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -73,11 +73,8 @@
   if (!exchange.route->is_public && !m_state.AreKeysCurrent(now) &&
       !exchange.head_sent)
     return Refuse(now, exchange, ServingRefusal::kKeysStale);
-  if (m_crash_suspects.ShouldRefuse(now, exchange)) {
-    if (exchange.head_sent)
-      return Abort(now, exchange, "breaks workers");
-    return Refuse(now, exchange, ServingRefusal::kBreaksWorkers);
-  }
+  if (RefuseConvicted(now, exchange))
+    return;
   if (exchange.awaits_retry_budget) {
     exchange.awaits_retry_budget =
         exchange.attempts_sent >= kMaxAttempts ||
--- a/source/core/serving/request_crashes.cc
+++ b/source/core/serving/request_crashes.cc
@@ -36,16 +36,114 @@
       now, exchange, worker->entry.id, worker->entry.contents.born);
   if (!notice)
     return;
-  if (m_crash_suspects.ShouldRefuse(now, exchange))
+  m_state.fleet.Broadcast(*notice);
+  if (OnConvictions(now))
+    BroadcastConvictions(now);
+  if (m_crash_suspects.IsConvicted(now, exchange))
     m_state.Log(LogEvent::kFingerprintConvicted,
                 {{"request", exchange.request->trace_id},
                  {"team", exchange.team},
                  {"crash", notice->crash}});
-  m_state.fleet.Broadcast(*notice);
+}
+
+void RequestTable::RecordAnswerProgress(TimePoint now, Exchange& exchange) {
+  Attempt& attempt = *exchange.attempt;
+  if (!IsSuccess(attempt.head->status))
+    return;
+  if (attempt.begun_at == kNever)
+    attempt.begun_at = now;
+  if (const auto cleared = m_crash_suspects.RecordProgress(now, exchange))
+    OnPartsCleared(exchange, *cleared);
+}
+
+void RequestTable::RecordCompletedRun(TimePoint now, const Exchange& exchange) {
+  if (const auto cleared = m_crash_suspects.RecordCompletedRun(now, exchange))
+    m_state.fleet.Broadcast(*cleared);
+  if (const auto cleared =
+          m_crash_suspects.RecordProgress(now, exchange, /*complete=*/true))
+    OnPartsCleared(exchange, *cleared);
+}
+
+void RequestTable::OnPartsCleared(const Exchange& exchange,
+                                  const CrashNotice& notice) {
+  m_metrics.parts_cleared += notice.parts.size();
+  for (const PromptPartId part : notice.parts) {
+    m_state.Log(LogEvent::kPartCleared,
+                {{"part", PromptPartName(part)},
+                 {"request", exchange.request->trace_id},
+                 {"worker", exchange.attempt->worker},
+                 {"begun_ms_ago", FormatMilliseconds(notice.age)}});
+  }
+  m_state.fleet.Broadcast(notice);
 }
 
 void RequestTable::OnCrashNotice(TimePoint now, const CrashNotice& notice) {
   m_crash_suspects.ApplyNotice(now, notice);
+  OnConvictions(now);
+}
+
+bool RequestTable::OnConvictions(TimePoint now) {
+  const std::vector<PromptPartId> convicted =
+      m_crash_suspects.TakeNewConvictions();
+  if (convicted.empty())
+    return false;
+  m_metrics.parts_convicted += convicted.size();
+  for (const PromptPartId part : convicted) {
+    std::string crashes;
+    for (const PartEvidence& evidence :
+         m_crash_suspects.parts().EvidenceAgainst(part)) {
+      if (!crashes.empty())
+        crashes += ',';
+      crashes += evidence.crash;
+    }
+    m_state.Log(LogEvent::kPartConvicted,
+                {{"part", PromptPartName(part)}, {"crashes", crashes}});
+  }
+  // Requests that wait at workers would still crash them.
+  for (auto& [id, exchange] : m_exchanges) {
+    if (exchange.stage == ExchangeStage::kRunning)
+      ScheduleCheck(exchange, now);
+  }
+  return true;
+}
+
+void RequestTable::BroadcastConvictions(TimePoint now) {
+  for (const CrashNotice& notice : m_crash_suspects.ConvictionNotices(now))
+    m_state.fleet.Broadcast(notice);
+}
+
+std::optional<PromptPartId> RequestTable::FindConvictedPart(
+    TimePoint now,
+    const Exchange& exchange) {
+  const auto part = m_crash_suspects.FindConvictedPart(
+      now, exchange,
+      {.self = m_state.options.vm, .routers = m_state.fleet.LiveRouters()});
+  if (const auto probed = m_crash_suspects.TakeNewProbe()) {
+    ++m_metrics.part_probes;
+    m_state.Log(LogEvent::kPartProbed,
+                {{"part", PromptPartName(*probed)},
+                 {"request", exchange.request->trace_id}});
+  }
+  return part;
+}
+
+bool RequestTable::RefuseConvicted(TimePoint now, Exchange& exchange) {
+  exchange.convicted_part = FindConvictedPart(now, exchange);
+  if (!exchange.convicted_part && !m_crash_suspects.IsConvicted(now, exchange))
+    return false;
+  if (exchange.head_sent)
+    Abort(now, exchange, "breaks workers");
+  else
+    Refuse(now, exchange, ServingRefusal::kBreaksWorkers);
+  return true;
+}
+
+bool RequestTable::CancelConvicted(TimePoint now, Exchange& exchange) {
+  if (exchange.attempt->begun_at != kNever || !FindConvictedPart(now, exchange))
+    return false;
+  ++exchange.possible_runs;
+  CancelCurrentAttempt(exchange);
+  return RefuseConvicted(now, exchange);
 }
 
 }  // namespace boragepick
--- a/source/core/serving/request_responses.cc
+++ b/source/core/serving/request_responses.cc
@@ -13,10 +13,6 @@
 // by this.
 constexpr int kPlainLatencyDivisor = 4;
 
-constexpr bool IsSuccess(unsigned status) {
-  return status >= 200 && status < 300;
-}
-
 // Callers take these statuses for a guarantee that the request has not run, so
 // they are forwarded only if the upstream states that.
 constexpr bool GuaranteesNoRun(unsigned status) {
@@ -92,6 +88,7 @@
   Exchange* exchange = FindAttempt(number);
   if (exchange == nullptr || !exchange->attempt->head)
     return;
+  RecordAnswerProgress(now, *exchange);
   Attempt& attempt = *exchange->attempt;
   if (IsStream(*exchange))
     return ForwardEvents(now, *exchange, bytes);
@@ -180,8 +177,7 @@
 void RequestTable::CompleteResponse(TimePoint now, Exchange& exchange) {
   ++m_metrics.answered;
   m_metrics.whole_answer.Add(now - exchange.arrived);
-  if (const auto cleared = m_crash_suspects.RecordCompletedRun(now, exchange))
-    m_state.fleet.Broadcast(*cleared);
+  RecordCompletedRun(now, exchange);
   Attempt& attempt = *exchange.attempt;
   Worker* worker = m_state.workers.Find(attempt.worker);
   const bool is_plain = exchange.weights.empty();
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -269,7 +269,7 @@
       TimeOut(now, *exchange);
     else if (exchange->stage == ExchangeStage::kHeld)
       Dispatch(now, *exchange);
-    else
+    else if (!CancelConvicted(now, *exchange))
       CheckProgress(now, *exchange);
   }
 }
@@ -352,6 +352,9 @@
        {"runs", std::to_string(exchange.possible_runs)},
        {"config", std::to_string(
                       exchange.config ? exchange.config->config().version : 0)},
+       {"part", exchange.convicted_part
+                    ? PromptPartName(*exchange.convicted_part)
+                    : ""},
        {"after_ms", FormatMilliseconds(now - exchange.arrived)}});
   m_state.Emit(RefuseRequest{.id = exchange.request->id,
                              .status = row.status,
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -34,6 +34,11 @@
   std::uint64_t aborted = 0;
   // Runs that ended with the connection to their worker.
   std::uint64_t broken_runs = 0;
+  // Parts of prompts that were convicted of crashing workers, were probed
+  // again, or were cleared.
+  std::uint64_t parts_convicted = 0;
+  std::uint64_t part_probes = 0;
+  std::uint64_t parts_cleared = 0;
   // From arrival until the response begins, and until it is complete.
   LatencyHistogram first_byte;
   LatencyHistogram whole_answer;
@@ -75,6 +80,9 @@
 
   // Another router has reported a request that may crash workers.
   void OnCrashNotice(TimePoint now, const CrashNotice& notice);
+  // Sends the convictions of prompt parts to the other routers, because one of
+  // them has started and may not know them.
+  void BroadcastConvictions(TimePoint now);
 
   // Ends all open requests because the process stops.
   void EndAll(TimePoint now);
@@ -152,7 +160,6 @@
   void GiveUpAttempt(TimePoint now,
                      Exchange& exchange,
                      const std::string& reason);
-  void RecordSuspectedCrash(TimePoint now, const Exchange& exchange);
   void RecordProgress(TimePoint now, Exchange& exchange);
   bool CanRetry(TimePoint now, const Exchange& exchange, bool has_run) const;
   void Retry(TimePoint now, Exchange& exchange, const std::string& reason);
@@ -160,6 +167,21 @@
   // Whether a worker other than the current one could run the request.
   bool HasOtherWorker(TimePoint now, const Exchange& exchange);
 
+  // Detection of requests that crash workers.
+  void RecordSuspectedCrash(TimePoint now, const Exchange& exchange);
+  void RecordAnswerProgress(TimePoint now, Exchange& exchange);
+  void RecordCompletedRun(TimePoint now, const Exchange& exchange);
+  void OnPartsCleared(const Exchange& exchange, const CrashNotice& notice);
+  // Returns whether a prompt part was convicted.
+  bool OnConvictions(TimePoint now);
+  std::optional<PromptPartId> FindConvictedPart(TimePoint now,
+                                                const Exchange& exchange);
+  // Refuse a request that would crash a worker, before it is sent or while it
+  // waits at a worker. They return whether they did, which destroys the
+  // exchange.
+  bool RefuseConvicted(TimePoint now, Exchange& exchange);
+  bool CancelConvicted(TimePoint now, Exchange& exchange);
+
   // Ends of requests. These destroy the exchange.
   void Refuse(TimePoint now, Exchange& exchange, ServingRefusal refusal);
   void CompleteResponse(TimePoint now, Exchange& exchange);
--- a/source/core/serving/serving_fleet.cc
+++ b/source/core/serving/serving_fleet.cc
@@ -55,13 +55,14 @@
     m_quota->ApplyPage(now, page);
 }
 
-void ServingFleet::Handle(TimePoint now, const RouterRecordReceived& event) {
+bool ServingFleet::Handle(TimePoint now, const RouterRecordReceived& event) {
   RouterRecord& record = m_records[event.record.vm];
   if (record == event.record)
-    return;
+    return false;
   record = event.record;
   m_roster.RecordRun(record.vm, record.incarnation);
   ApplyRoster(now, event.revision);
+  return true;
 }
 
 void ServingFleet::Handle(TimePoint now, const RouterRecordRemoved& event) {
--- a/source/core/serving/serving_fleet.h
+++ b/source/core/serving/serving_fleet.h
@@ -83,7 +83,8 @@
   explicit ServingFleet(FleetOptions options) : m_options(std::move(options)) {}
 
   void Handle(TimePoint now, const IncarnationReceived& event);
-  void Handle(TimePoint now, const RouterRecordReceived& event);
+  // Returns whether the record is new, because its router has started.
+  bool Handle(TimePoint now, const RouterRecordReceived& event);
   void Handle(TimePoint now, const RouterRecordRemoved& event);
   void Handle(TimePoint now, const RouterRecordsSynced& event);
   void Handle(TimePoint now, const SharePageReceived& event);
@@ -114,6 +115,9 @@
   // Sends the message to all other routers.
   void Broadcast(const PeerMessage& message);
 
+  const std::vector<std::string>& LiveRouters() const {
+    return m_roster.LiveRouters();
+  }
   // Number of routers that share the fleet's limits; 0 while it is unknown.
   std::size_t RouterCount() const { return m_roster.LiveRouters().size(); }
   std::vector<FleetEffect> TakeEffects() {
--- a/source/core/serving/serving_request.h
+++ b/source/core/serving/serving_request.h
@@ -13,8 +13,6 @@
 
 namespace boragepick {
 
-// A part of a prompt; parts with equal ids have equal text.
-using PromptPartId = std::uint64_t;
 struct PromptPart {
   PromptPartId id = 0;
   std::uint32_t tokens = 0;
@@ -66,6 +64,10 @@
   std::vector<HeaderField> headers;
 };
 
+constexpr bool IsSuccess(unsigned status) {
+  return status >= 200 && status < 300;
+}
+
 // Why a caller gets no complete response.
 enum class DisconnectReason { kClosedByCaller, kNotReading };
 
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -141,6 +141,11 @@
   m_state.config_confirmed_at = event.at;
 }
 
+void ServingRouter::On(TimePoint now, const RouterRecordReceived& event) {
+  if (m_state.fleet.Handle(now, event))
+    m_requests.BroadcastConvictions(now);
+}
+
 template <typename FleetEvent>
 void ServingRouter::On(TimePoint now, const FleetEvent& event) {
   m_state.fleet.Handle(now, event);
--- a/source/core/serving/serving_router.h
+++ b/source/core/serving/serving_router.h
@@ -49,6 +49,7 @@
   void On(TimePoint now, const WorkerListUnavailable& event);
   void On(TimePoint now, const WorkerListRestored& event);
   void On(TimePoint now, const ConfigConfirmed& event);
+  void On(TimePoint now, const RouterRecordReceived& event);
   template <typename FleetEvent>
   void On(TimePoint now, const FleetEvent& event);
   void On(TimePoint now, const PeerMessageReceived& event);
--- a/source/frontends/serving/serving_metrics.cc
+++ b/source/frontends/serving/serving_metrics.cc
@@ -51,6 +51,9 @@
   writer.Add("cancelled_total", metrics.cancelled);
   writer.Add("aborted_total", metrics.aborted);
   writer.Add("broken_runs_total", metrics.broken_runs);
+  writer.Add("prompt_parts_convicted_total", metrics.parts_convicted);
+  writer.Add("prompt_part_probes_total", metrics.part_probes);
+  writer.Add("prompt_parts_cleared_total", metrics.parts_cleared);
   for (const auto& [refusal, count] : metrics.refused) {
     writer.Add(
         "refused_total", count,
--- /dev/null
+++ b/source/unit_tests/core/serving/crash_suspects_test.cc
@@ -0,0 +1,125 @@
+// Evidence against whole requests beside evidence against parts of prompts.
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "core/serving/crash_suspects.h"
+
+namespace boragepick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr PromptPartId kCommonPart = 1;
+constexpr PromptPartId kDeadlyPart = 666;
+
+class CrashSuspectsTest : public testing::Test {
+ protected:
+  CrashSuspectsTest() { route.kind = RequestKind::kStream; }
+
+  Exchange MakeExchange(std::vector<PromptPartId> parts) {
+    const RequestId id = ++m_last_request;
+    parts.push_back(1'000 + id);
+    ServingRequest request{.id = id, .body = "body " + std::to_string(id)};
+    for (const PromptPartId part : parts)
+      request.prompt.push_back({.id = part, .tokens = 1});
+    Exchange exchange;
+    exchange.request = std::make_shared<const ServingRequest>(request);
+    exchange.route = &route;
+    exchange.team = "team";
+    exchange.attempt.emplace();
+    return exchange;
+  }
+  bool IsRefused(const Exchange& exchange) {
+    return suspects.IsConvicted(now, exchange) ||
+           suspects.FindConvictedPart(now, exchange,
+                                      {.self = self, .routers = routers});
+  }
+
+  TimePoint now = TimePoint(seconds(1'000));
+  ServingRoute route;
+  std::string self = "r1";
+  std::vector<std::string> routers = {"r1"};
+  CrashSuspects suspects;
+
+ private:
+  RequestId m_last_request = 0;
+};
+
+TEST_F(CrashSuspectsTest, ARequestBesideADeadlyPartIsNotRefusedForItsCrashes) {
+  const Exchange bystander = MakeExchange({kCommonPart, 50});
+  std::vector<CrashNotice> notices;
+  for (int i = 0; i < 3; ++i) {
+    now += seconds(1);
+    const std::string worker = "w" + std::to_string(i);
+    notices.push_back(
+        *suspects.RecordBrokenRun(now, bystander, worker, /*born=*/1));
+    suspects.RecordBrokenRun(now, MakeExchange({kCommonPart, kDeadlyPart}),
+                             worker, 1);
+  }
+  EXPECT_TRUE(IsRefused(bystander));
+  for (int i = 3; i < 5; ++i) {
+    now += seconds(1);
+    suspects.RecordBrokenRun(now, MakeExchange({kCommonPart, kDeadlyPart}),
+                             "w" + std::to_string(i), 1);
+  }
+  Exchange answered = MakeExchange({kCommonPart});
+  answered.attempt->begun_at = now + milliseconds(1);
+  now += seconds(1);
+  EXPECT_TRUE(suspects.RecordProgress(now, answered).has_value());
+  EXPECT_TRUE(IsRefused(MakeExchange({kCommonPart, kDeadlyPart})));
+  EXPECT_FALSE(IsRefused(bystander));
+  // A delayed notice does not bring the evidence back.
+  for (const CrashNotice& notice : notices)
+    suspects.ApplyNotice(now, notice);
+  EXPECT_FALSE(IsRefused(bystander));
+}
+
+TEST_F(CrashSuspectsTest, AnAnswerThatBeganAndWentOnIsNoSuspect) {
+  for (int i = 0; i < 8; ++i) {
+    now += seconds(1);
+    Exchange begun = MakeExchange({kCommonPart});
+    begun.attempt->begun_at = now - seconds(1);
+    suspects.RecordBrokenRun(now, begun, "w" + std::to_string(i), 1);
+  }
+  EXPECT_FALSE(IsRefused(MakeExchange({kCommonPart})));
+}
+
+TEST_F(CrashSuspectsTest, ACrashJustAfterTheFirstBytesIsEvidence) {
+  for (int i = 0; i < 8; ++i) {
+    now += seconds(1);
+    Exchange begun = MakeExchange({kDeadlyPart});
+    begun.attempt->begun_at = now - milliseconds(1);
+    EXPECT_FALSE(suspects.RecordProgress(now, begun).has_value());
+    suspects.RecordBrokenRun(now, begun, "w" + std::to_string(i), 1);
+  }
+  EXPECT_TRUE(IsRefused(MakeExchange({kDeadlyPart})));
+}
+
+TEST_F(CrashSuspectsTest, AnotherRouterDerivesTheConvictionsFromNotices) {
+  for (int i = 0; i < 5; ++i) {
+    now += seconds(1);
+    suspects.RecordBrokenRun(now, MakeExchange({kDeadlyPart}),
+                             "w" + std::to_string(i), 1);
+  }
+  const std::vector<CrashNotice> notices = suspects.ConvictionNotices(now);
+  suspects = CrashSuspects();
+  const Exchange exchange = MakeExchange({kDeadlyPart});
+  EXPECT_FALSE(IsRefused(exchange));
+  now += seconds(30);
+  for (const CrashNotice& notice : notices)
+    suspects.ApplyNotice(now, notice);
+  EXPECT_TRUE(IsRefused(exchange));
+}
+
+TEST_F(CrashSuspectsTest, NoticesWithUnlikelyAgesAreApplied) {
+  for (const Duration age : {Duration::min(), Duration::max()})
+    suspects.ApplyNotice(now,
+                         {.crash = "w/1", .parts = {kDeadlyPart}, .age = age});
+  EXPECT_FALSE(IsRefused(MakeExchange({kDeadlyPart})));
+}
+
+}  // namespace
+}  // namespace boragepick
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -63,7 +63,10 @@
       IdempotencyOutcome{
           .claim_id = "c", .token = 3, .result = IdempotencyResult::kWhole},
       IdempotencyOutcomeStored{.token = 3},
-      CrashNotice{.fingerprint = 5, .crash = "w/1"},
+      CrashNotice{.fingerprint = 5,
+                  .crash = "w/1",
+                  .parts = {7, 8},
+                  .age = std::chrono::milliseconds(3)},
       SlotRequest{.number = 1,
                   .pool = "weights",
                   .priority = Priority::kBatch,
@@ -102,6 +105,20 @@
   }
 }
 
+TEST(PeerCodec, ACrashNoticeWithoutPartsIsDecoded) {
+  // Fields 1 and 2 of the message, in an envelope with the sender.
+  const std::string frame =
+      EncodePeerFrame(kSelf, CrashNotice{.fingerprint = 5, .crash = "w/1"});
+  const std::string notice("\x08\x05\x12\x03w/1", 7);
+  EXPECT_NE(frame.find("\xda\x01\x07" + notice), std::string::npos);
+  const auto decoded =
+      std::get<CrashNotice>(DecodePeerFrame(frame, "peer").message);
+  EXPECT_EQ(decoded.fingerprint, 5U);
+  EXPECT_EQ(decoded.crash, "w/1");
+  EXPECT_TRUE(decoded.parts.empty());
+  EXPECT_EQ(decoded.age, Duration::zero());
+}
+
 // Runs a decoder on invalid input; it may throw only Error.
 template <typename Decode>
 void DecodesOrThrowsError(Decode decode) {
--- a/source/wire/peer_codec.cc
+++ b/source/wire/peer_codec.cc
@@ -320,12 +320,16 @@
   out.set_fingerprint(message.fingerprint);
   out.set_crash(message.crash);
   out.set_cleared(message.cleared);
+  out.mutable_parts()->Assign(message.parts.begin(), message.parts.end());
+  out.set_age_us(message.age.count());
 }
 
 CrashNotice DecodeBody(wire::CrashNotice& in) {
   return {.fingerprint = in.fingerprint(),
           .crash = in.crash(),
-          .cleared = in.cleared()};
+          .cleared = in.cleared(),
+          .parts = {in.parts().begin(), in.parts().end()},
+          .age = Duration(in.age_us())};
 }
 
 void EncodeBody(const SlotRequest& message, wire::Envelope& envelope) {
