--- a/source/unit_tests/core/serving/serving_responses_test.cc
+++ b/source/unit_tests/core/serving/serving_responses_test.cc
@@ -322,5 +322,36 @@
   }
 }
 
+TEST_F(ServingResponses, PlainResponseEndedByCloseIsSentWholeOrInParts) {
+  constexpr std::size_t kMaxBufferedBytes = 1 << 20;
+  for (const std::size_t size :
+       {std::size_t{0}, kMaxBufferedBytes, kMaxBufferedBytes + 1}) {
+    for (const bool is_reset : {false, true}) {
+      m_fixture.emplace();
+      const SendAttempt sent = SendRequest("/book/1");
+      const std::string body(size, 'a');
+      m_fixture->RespondHead(sent.attempt);
+      RespondBytes(sent, body);
+      if (is_reset)
+        Reset(sent);
+      else
+        m_fixture->Handle(
+            AttemptCompleted{.attempt = sent.attempt, .ended_by_close = true});
+      const bool in_parts = size > kMaxBufferedBytes;
+      const auto whole = m_fixture->TakeEffects<SendResponse>();
+      ASSERT_EQ(whole.size(), !in_parts && !is_reset ? 1U : 0U) << size;
+      EXPECT_TRUE(whole.empty() || whole[0].body == body) << size;
+      EXPECT_EQ(RefusalStatus(), !in_parts && is_reset ? 502U : 0U) << size;
+      EXPECT_TRUE(TakeBody() == (in_parts ? body : "")) << size;
+      EXPECT_EQ(m_fixture->TakeEffects<EndResponse>().size(),
+                in_parts && !is_reset ? 1U : 0U)
+          << size;
+      EXPECT_EQ(m_fixture->TakeEffects<AbortResponse>().size(),
+                in_parts && is_reset ? 1U : 0U)
+          << size;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace boragepick
