Suspect a silent worker before its streams are given up

Since streams are given up only after 1.5 s, new requests went on to workers that no longer answered, as a silent worker was avoided only when an attempt at it was given up.

--- a/source/core/serving/exchange.h
+++ b/source/core/serving/exchange.h
@@ -76,6 +76,8 @@
   // When the first byte of a successful response's body was received.
   TimePoint begun_at = kNever;
   TimePoint last_progress;
+  // The worker was suspected because of its silence since then.
+  bool is_suspected = false;
 };
 
 struct Exchange {
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -17,40 +17,12 @@
 // How long a broken stream is held for a worker that can resume it. Callers
 // give up a stream after a gap of two seconds or more.
 constexpr Duration kMaxResumeHold = std::chrono::milliseconds(1'800);
-// Interval of checks of a silent attempt while no other worker could run the
-// request, or the retry budget is spent.
-constexpr Duration kSilenceCheckPeriod = std::chrono::milliseconds(200);
-// A repeatable request other than a stream is sent to another worker when
-// nothing was received for this many times the latency objective of its route,
-// but at least for kMinSilenceTimeout.
-constexpr int kSilenceTimeoutInObjectives = 2;
-constexpr Duration kMinSilenceTimeout = std::chrono::milliseconds(250);
-// The same for streams, before their first event and between events. A sound
-// worker may pause a stream for about a second. Callers give up a stream after
-// twice this time, so that another worker has time to resume it.
-constexpr int kStreamSilenceInLatencies = 2;
-constexpr int kStreamSilenceInGaps = 4;
-constexpr Duration kMinStreamSilence = std::chrono::milliseconds(1'500);
-// Retries that the budget must allow for a silent attempt to be given up: one,
-// and one more in case the next worker rejects the request.
-constexpr double kSilenceRetries = 2;
 // No attempt is sent with less time than this until the deadline.
 constexpr Duration kMinAttemptTime = std::chrono::milliseconds(10);
 // Backoff of a worker after another worker responded at its address, so that
 // the worker list can catch up.
 constexpr Duration kReplacedWorkerBackoff = std::chrono::seconds(3);
 
-// How long a worker may send nothing before another one is tried.
-Duration SilenceTimeout(const ServingRoute& route, bool body_started) {
-  if (route.kind != RequestKind::kStream)
-    return std::max(kMinSilenceTimeout,
-                    route.target_latency * kSilenceTimeoutInObjectives);
-  return std::max(kMinStreamSilence,
-                  body_started
-                      ? route.target_gap * kStreamSilenceInGaps
-                      : route.target_latency * kStreamSilenceInLatencies);
-}
-
 }  // namespace
 
 WorkerChoiceInput RequestTable::MakeChoiceInput(
@@ -230,14 +202,6 @@
   RecordProgress(now, exchange);
 }
 
-void RequestTable::RecordProgress(TimePoint now, Exchange& exchange) {
-  exchange.attempt->last_progress = now;
-  if (!exchange.route->IsRepeatable())
-    return ScheduleCheck(exchange, exchange.deadline);
-  ScheduleCheck(exchange, now + SilenceTimeout(*exchange.route,
-                                               exchange.attempt->body_started));
-}
-
 void RequestTable::CloseAttempt(Exchange& exchange) {
   if (!exchange.attempt)
     return;
@@ -336,18 +300,7 @@
          exchange.deadline - now > kMinAttemptTime;
 }
 
-void RequestTable::GiveUpAttempt(TimePoint now,
-                                 Exchange& exchange,
-                                 const std::string& reason) {
-  Worker* worker = m_state.workers.Find(exchange.attempt->worker);
-  if (worker != nullptr) {
-    m_state.workers.RecordFailure(now, *worker);
-    m_state.Log(LogEvent::kWorkerSuspected,
-                {{"worker", worker->entry.id},
-                 {"request", exchange.request->trace_id},
-                 {"why", reason},
-                 {"in_a_row", std::to_string(worker->consecutive_failures)}});
-  }
+void RequestTable::GiveUpAttempt(Exchange& exchange) {
   exchange.tried_workers.insert(exchange.attempt->worker);
   CancelCurrentAttempt(exchange);
 }
@@ -355,7 +308,8 @@
 void RequestTable::HandleAttemptFailure(TimePoint now,
                                         Exchange& exchange,
                                         const std::string& reason) {
-  GiveUpAttempt(now, exchange, reason);
+  SuspectWorker(now, exchange, reason);
+  GiveUpAttempt(exchange);
   exchange.last_run_was_silent = false;
   const bool can_retry = exchange.route->IsRepeatable() &&
                          CanRetry(now, exchange, /*has_run=*/true) &&
@@ -388,38 +342,4 @@
   Dispatch(now, exchange);
 }
 
-bool RequestTable::HasOtherWorker(TimePoint now, const Exchange& exchange) {
-  const ServingRequest& request = *exchange.request;
-  const std::vector<Worker*> workers = UsableWorkers(now, exchange);
-  return std::ranges::any_of(workers, [&](const Worker* worker) {
-    return worker->entry.id != exchange.attempt->worker &&
-           !exchange.tried_workers.contains(worker->entry.id) &&
-           (request.model.empty() ||
-            worker->contents.Holds(request.model, request.adapter));
-  });
-}
-
-void RequestTable::CheckProgress(TimePoint now, Exchange& exchange) {
-  if (!exchange.route->IsRepeatable())
-    return ScheduleCheck(exchange, exchange.deadline);
-  const Attempt& attempt = *exchange.attempt;
-  const TimePoint silent_at =
-      attempt.last_progress +
-      SilenceTimeout(*exchange.route, attempt.body_started);
-  if (now < silent_at)
-    return ScheduleCheck(exchange, silent_at);
-  // Without a possible retry, a slow response is better than none, so the
-  // attempt continues.
-  if (!CanRetry(now, exchange, /*has_run=*/true))
-    return ScheduleCheck(exchange, exchange.deadline);
-  RetryBudget& budget = RetryBudgetFor(exchange.service);
-  if (!budget.Allows(kSilenceRetries) || !HasOtherWorker(now, exchange))
-    return ScheduleCheck(exchange, now + kSilenceCheckPeriod);
-  budget.TryConsume();
-  GiveUpAttempt(now, exchange, "silent");
-  ++exchange.possible_runs;
-  exchange.last_run_was_silent = true;
-  Retry(now, exchange, "silent");
-}
-
 }  // namespace boragepick
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -156,10 +156,12 @@
   void HandleAttemptFailure(TimePoint now,
                             Exchange& exchange,
                             const std::string& reason);
-  // Cancels the current attempt and avoids its worker.
-  void GiveUpAttempt(TimePoint now,
-                     Exchange& exchange,
+  // Avoids the worker of the current attempt for a while.
+  void SuspectWorker(TimePoint now,
+                     const Exchange& exchange,
                      const std::string& reason);
+  // Cancels the current attempt; its worker is not tried again.
+  void GiveUpAttempt(Exchange& exchange);
   void RecordProgress(TimePoint now, Exchange& exchange);
   bool CanRetry(TimePoint now, const Exchange& exchange, bool has_run) const;
   void Retry(TimePoint now, Exchange& exchange, const std::string& reason);
--- a/source/unit_tests/core/serving/serving_silence_test.cc
+++ b/source/unit_tests/core/serving/serving_silence_test.cc
@@ -57,6 +57,19 @@
   EXPECT_EQ(fixture.TakeEffects<EndResponse>().size(), 1U);
 }
 
+// New requests avoid a silent worker before its streams are given up.
+TEST_F(ServingSilence, SuspectsASilentWorkerBeforeItGivesUpItsStream) {
+  ServingFixture fixture(OptionsWithRetries(50));
+  fixture.Start();
+  const SendAttempt sent = BeginStream(fixture);
+  fixture.Advance(milliseconds(900));
+  EXPECT_TRUE(fixture.TakeEffects<CancelAttempt>().empty());
+  for (int i = 0; i < 5; ++i)
+    fixture.ReceiveRequest("/review/1", "m1");
+  for (const SendAttempt& next : fixture.TakeEffects<SendAttempt>())
+    EXPECT_NE(next.worker, sent.worker);
+}
+
 TEST_F(ServingSilence, KeepsASilentAttemptIfTheRetryBudgetIsSpent) {
   ServingFixture fixture(OptionsWithRetries(0));
   fixture.Start();
