Keep the evidence of a conviction when the table of crashes is full

What callers could see: requests with a part that crashes workers are sent to workers again after many other workers have ended, as in a power failure.

Cause: a full table of crashes gave up the oldest one, and convictions are derived from the table. Crashes that no convicted part explains now go first.

--- a/source/core/serving/prompt_part_suspects.cc
+++ b/source/core/serving/prompt_part_suspects.cc
@@ -88,14 +88,14 @@
              : std::ranges::max(crash.runs, {}, &BrokenRun::at).at;
 }
 
-PromptPartSuspects::CrashIterator PromptPartSuspects::FindOldest() {
-  return std::ranges::min_element(
-      m_crashes, {}, [](const auto& entry) { return LastRun(entry.second); });
-}
-
 void PromptPartSuspects::MakeRoom() {
-  while (m_crashes.size() >= kMaxCrashes)
-    m_crashes.erase(FindOldest());
+  if (m_crashes.size() < kMaxCrashes)
+    return;
+  // The evidence for a conviction is kept longest.
+  m_crashes.erase(
+      std::ranges::min_element(m_crashes, {}, [this](const auto& entry) {
+        return std::pair(IsExplained(entry.first), LastRun(entry.second));
+      }));
 }
 
 void PromptPartSuspects::RemoveOldCrashes(TimePoint now) {
--- a/source/core/serving/prompt_part_suspects.h
+++ b/source/core/serving/prompt_part_suspects.h
@@ -108,11 +108,9 @@
     RequestId request = 0;
   };
 
-  using CrashIterator = std::map<std::string, Crash>::iterator;
   using CrashTimes = std::map<PromptPartId, std::vector<TimePoint>>;
 
   static TimePoint LastRun(const Crash& crash);
-  CrashIterator FindOldest();
   void MakeRoom();
   void RemoveOldCrashes(TimePoint now);
   // The times of the crashes that neither a convicted part nor `other`
--- a/source/unit_tests/core/serving/prompt_part_suspects_test.cc
+++ b/source/unit_tests/core/serving/prompt_part_suspects_test.cc
@@ -147,6 +147,18 @@
   EXPECT_TRUE(IsRefused({2'000}));
 }
 
+// Many other workers end, as in a power failure.
+TEST_F(PromptPartSuspectsTest, UnrelatedCrashesDontAcquitAConvictedPart) {
+  for (int i = 0; i < 6; ++i)
+    Crash({{2}});
+  ASSERT_TRUE(IsRefused({2}));
+  for (std::size_t i = 0; i < PromptPartSuspects::kMaxCrashes; ++i)
+    suspects.RecordBrokenRun(now += milliseconds(1),
+                             "other" + std::to_string(i) + "/1", {10'000 + i});
+  EXPECT_TRUE(IsRefused({2}));
+  EXPECT_LE(suspects.crashes(), PromptPartSuspects::kMaxCrashes);
+}
+
 TEST_F(PromptPartSuspectsTest, OneRouterProbesAndAFailedProbeDelaysTheNext) {
   routers = {"r1", "r2", "r3"};
   for (int i = 0; i < 4; ++i)
