Derive convictions only when a notice can change them

Cause: each notice of a broken run derived all convictions anew, over all crashes, runs and parts.

A notice now counts the crashes of its own parts first, and the derivation runs only if one of them can reach the threshold or evidence was removed. A notice about a part that is near the threshold costs as much as before.

--- a/source/core/serving/prompt_part_suspects.cc
+++ b/source/core/serving/prompt_part_suspects.cc
@@ -43,8 +43,7 @@
   parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
   if (parts.empty())
     return false;
-  if (known == m_crashes.end())
-    MakeRoom();
+  const bool has_evicted = known == m_crashes.end() && MakeRoom();
   std::vector<BrokenRun>& runs = m_crashes[crash].runs;
   const bool is_known =
       std::ranges::any_of(runs, [&parts](const BrokenRun& run) {
@@ -52,11 +51,30 @@
       });
   if (is_known || runs.size() >= kMaxRunsPerCrash)
     return false;
+  for (const PromptPartId part : parts) {
+    TimePoint& since = m_suspected_since.emplace(part, at).first->second;
+    since = std::min(since, at);
+  }
+  const bool may_convict =
+      has_evicted || std::ranges::any_of(parts, [this](PromptPartId part) {
+        return CountCrashes(part) + 1 >= kCrashesToConvict;
+      });
   runs.push_back({.at = at, .parts = std::move(parts)});
-  Convict();
+  if (may_convict)
+    Convict();
   return true;
 }
 
+std::size_t PromptPartSuspects::CountCrashes(PromptPartId part) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(m_crashes, [part](const auto& entry) {
+        return std::ranges::any_of(
+            entry.second.runs, [part](const BrokenRun& run) {
+              return std::ranges::binary_search(run.parts, part);
+            });
+      }));
+}
+
 std::vector<PromptPartId> PromptPartSuspects::RecordAnswer(
     TimePoint begun_at,
     std::span<const PromptPartId> parts) {
@@ -88,14 +106,15 @@
              : std::ranges::max(crash.runs, {}, &BrokenRun::at).at;
 }
 
-void PromptPartSuspects::MakeRoom() {
+bool PromptPartSuspects::MakeRoom() {
   if (m_crashes.size() < kMaxCrashes)
-    return;
+    return false;
   // The evidence for a conviction is kept longest.
   m_crashes.erase(
       std::ranges::min_element(m_crashes, {}, [this](const auto& entry) {
         return std::pair(IsExplained(entry.first), LastRun(entry.second));
       }));
+  return true;
 }
 
 void PromptPartSuspects::RemoveOldCrashes(TimePoint now) {
--- a/source/core/serving/prompt_part_suspects.h
+++ b/source/core/serving/prompt_part_suspects.h
@@ -111,7 +111,10 @@
   using CrashTimes = std::map<PromptPartId, std::vector<TimePoint>>;
 
   static TimePoint LastRun(const Crash& crash);
-  void MakeRoom();
+  // Removes the oldest crash if the table is full. Returns whether it did.
+  bool MakeRoom();
+  // Returns the number of crashes that broke a run with the part.
+  std::size_t CountCrashes(PromptPartId part) const;
   void RemoveOldCrashes(TimePoint now);
   // The times of the crashes that neither a convicted part nor `other`
   // explains, by part.
