Send convictions to a started router only, from three routers

Cause: whenever the record of a router was new, every router broadcast its convictions to all others.

Now the three routers that rendezvous hashing of the started one names send them, and to its endpoint only.

--- a/source/core/serving/request_crashes.cc
+++ b/source/core/serving/request_crashes.cc
@@ -1,10 +1,19 @@
 // RequestTable's detection of requests that crash workers.
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/hashing.h"
 #include "core/serving/request_table.h"
 
 namespace boragepick {
 
 namespace {
 
+// Routers that send the convictions to one that has started.
+constexpr std::size_t kConvictionSenders = 3;
+
 // Returns the prompt's part ids in hexadecimal, separated by commas.
 std::string PartNames(const std::vector<PromptPart>& prompt) {
   std::string names;
@@ -112,6 +121,18 @@
     m_state.fleet.Broadcast(notice);
 }
 
+void RequestTable::SendConvictions(TimePoint now, const RouterRecord& router) {
+  std::vector<std::string> senders =
+      RendezvousOrder(router.vm, m_state.fleet.LiveRouters());
+  std::erase(senders, router.vm);
+  senders.resize(std::min(senders.size(), kConvictionSenders));
+  if (std::ranges::find(senders, m_state.options.vm) == senders.end())
+    return;
+  for (CrashNotice& notice : m_crash_suspects.ConvictionNotices(now))
+    m_state.Emit(SendToEndpoint{.endpoint = router.endpoint,
+                                .message = std::move(notice)});
+}
+
 std::optional<PromptPartId> RequestTable::FindConvictedPart(
     TimePoint now,
     const Exchange& exchange) {
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -80,9 +80,8 @@
 
   // Another router has reported a request that may crash workers.
   void OnCrashNotice(TimePoint now, const CrashNotice& notice);
-  // Sends the convictions of prompt parts to the other routers, because one of
-  // them has started and may not know them.
-  void BroadcastConvictions(TimePoint now);
+  // Sends the convictions of prompt parts to a router that has started.
+  void SendConvictions(TimePoint now, const RouterRecord& router);
 
   // Ends all open requests because the process stops.
   void EndAll(TimePoint now);
@@ -176,6 +175,7 @@
   void OnPartsCleared(const Exchange& exchange, const CrashNotice& notice);
   // Returns whether a prompt part was convicted.
   bool OnConvictions(TimePoint now);
+  void BroadcastConvictions(TimePoint now);
   std::optional<PromptPartId> FindConvictedPart(TimePoint now,
                                                 const Exchange& exchange);
   // Refuse a request that would crash a worker, before it is sent or while it
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -143,7 +143,7 @@
 
 void ServingRouter::On(TimePoint now, const RouterRecordReceived& event) {
   if (m_state.fleet.Handle(now, event))
-    m_requests.BroadcastConvictions(now);
+    m_requests.SendConvictions(now, event.record);
 }
 
 template <typename FleetEvent>
--- a/source/unit_tests/core/serving/prompt_part_crashes_test.cc
+++ b/source/unit_tests/core/serving/prompt_part_crashes_test.cc
@@ -7,6 +7,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "unit_tests/core/serving/crash_fleet.h"
+#include "unit_tests/core/serving/serving_fixture.h"
 
 namespace boragepick {
 namespace {
@@ -197,6 +198,46 @@
   EXPECT_EQ(fleet.RefusedAsCrashing(), 0U);
 }
 
+// With many routers, all of them would send to all others at each start.
+TEST(PromptPartCrashes, ConvictionsGoOnlyToTheRouterThatStarted) {
+  ServingFixture fixture;
+  fixture.Start();
+  const auto add_router = [&fixture](const std::string& vm, int number) {
+    const std::string endpoint = "10.1.1." + std::to_string(number) + ":7";
+    fixture.Handle(RouterRecordReceived{.record = {.vm = vm,
+                                                   .data_centre = "a",
+                                                   .endpoint = endpoint,
+                                                   .incarnation = 1}});
+    return endpoint;
+  };
+  const auto start_router = [&add_router](int number) {
+    return add_router("peer" + std::to_string(number), number);
+  };
+  constexpr int kRouters = 6;
+  add_router(fixture.router().state().options.vm, 100);
+  for (int i = 0; i < kRouters; ++i)
+    start_router(i);
+  for (int i = 0; i < 6; ++i) {
+    fixture.Handle(PeerMessageReceived{
+        .message = CrashNotice{.crash = "w" + std::to_string(i) + "/1",
+                               .parts = {kDeadlyPart}}});
+    fixture.Advance(milliseconds(500));
+  }
+  ASSERT_EQ(fixture.router().requests().metrics().parts_convicted, 1U);
+  std::size_t notices = 0;
+  for (int i = kRouters; i < 3 * kRouters; ++i) {
+    fixture.effects.clear();
+    const std::string started = start_router(i);
+    for (const SendToEndpoint& sent : fixture.TakeEffects<SendToEndpoint>()) {
+      if (!std::holds_alternative<CrashNotice>(sent.message))
+        continue;
+      EXPECT_EQ(sent.endpoint, started);
+      ++notices;
+    }
+  }
+  EXPECT_GT(notices, 0U);
+}
+
 RC_GTEST_PROP(PromptPartCrashes, RandomFleetsKeepTheRules, ()) {
   const auto seed = *rc::gen::arbitrary<std::uint64_t>();
   CrashFleet fleet({.routers = *rc::gen::inRange<std::size_t>(1, 7),
