Share convictions of prompt parts with a random router every half second

What callers could see: a router that was cut off from its peers while a part was convicted sent such requests to workers after it was back.

Cause: notices are sent once. A router that missed them learned of a conviction only from crashes of its own requests. Each router with convictions now sends their evidence to a random other one every half second, so each receives it about once in that time, whatever was lost. Duplicates have no effect.

Before the fix the new test printed: ARouterThatWasCutOffLearnsOfConvictions: Expected: (SentWith(kDeadlyPart, in_contact)) <= (kMaxSentAfterwards)

--- a/source/core/serving/request_crashes.cc
+++ b/source/core/serving/request_crashes.cc
@@ -13,6 +13,9 @@
 
 // Routers that send the convictions to one that has started.
 constexpr std::size_t kConvictionSenders = 3;
+// A router that was cut off from the others receives the convictions about once
+// in this time.
+constexpr Duration kConvictionSharePeriod = std::chrono::milliseconds(500);
 
 // Returns the prompt's part ids in hexadecimal, separated by commas.
 std::string PartNames(const std::vector<PromptPart>& prompt) {
@@ -133,6 +136,21 @@
                                 .message = std::move(notice)});
 }
 
+void RequestTable::ShareConvictions(TimePoint now) {
+  if (now < m_next_conviction_share)
+    return;
+  m_next_conviction_share = now + kConvictionSharePeriod;
+  std::vector<CrashNotice> notices = m_crash_suspects.ConvictionNotices(now);
+  const std::vector<std::string>& routers = m_state.fleet.LiveRouters();
+  if (notices.empty() || routers.empty())
+    return;
+  const std::string& vm = routers[m_state.random.Below(routers.size())];
+  if (vm == m_state.options.vm)
+    return;
+  for (CrashNotice& notice : notices)
+    m_state.fleet.SendToVm(vm, std::move(notice));
+}
+
 std::optional<PromptPartId> RequestTable::FindConvictedPart(
     TimePoint now,
     const Exchange& exchange) {
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -256,6 +256,7 @@
 }
 
 void RequestTable::Tick(TimePoint now) {
+  ShareConvictions(now);
   while (!m_checks.empty() && m_checks.begin()->first <= now) {
     const RequestId id = m_checks.begin()->second;
     m_checks.erase(m_checks.begin());
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -176,6 +176,9 @@
   // Returns whether a prompt part was convicted.
   bool OnConvictions(TimePoint now);
   void BroadcastConvictions(TimePoint now);
+  // Sends the convictions to a random router from time to time, because notices
+  // may have been lost.
+  void ShareConvictions(TimePoint now);
   std::optional<PromptPartId> FindConvictedPart(TimePoint now,
                                                 const Exchange& exchange);
   // Refuse a request that would crash a worker, before it is sent or while it
@@ -216,6 +219,7 @@
   // The next check of each request, in order of time.
   std::set<std::pair<TimePoint, RequestId>> m_checks;
   AttemptNumber m_last_attempt = 0;
+  TimePoint m_next_conviction_share = TimePoint{};
 };
 
 }  // namespace boragepick
--- a/source/core/serving/serving_fleet.h
+++ b/source/core/serving/serving_fleet.h
@@ -114,6 +114,8 @@
 
   // Sends the message to all other routers.
   void Broadcast(const PeerMessage& message);
+  // Sends the message to one router, if its record is known.
+  void SendToVm(const std::string& vm, PeerMessage message);
 
   const std::vector<std::string>& LiveRouters() const {
     return m_roster.LiveRouters();
@@ -136,7 +138,6 @@
   void ApplyRoster(TimePoint now, Revision revision);
   void SetTeams(TimePoint now);
   std::int64_t InitialTokens() const;
-  void SendToVm(const std::string& vm, PeerMessage message);
   void Emit(FleetEffect effect) { m_effects.push_back(std::move(effect)); }
 
   FleetOptions m_options;
--- a/source/unit_tests/core/serving/crash_fleet.h
+++ b/source/unit_tests/core/serving/crash_fleet.h
@@ -138,6 +138,8 @@
 
   TimePoint now = TimePoint(std::chrono::seconds(1'000));
   std::set<PromptPartId> deadly;
+  // Routers that neither send nor receive messages.
+  std::set<std::size_t> cut_off;
   std::vector<Sent> sent;
   // The times at which a deadly part crashed a worker.
   std::vector<TimePoint> crashes;
@@ -270,12 +272,12 @@
     for (Worker& worker : m_workers)
       worker.attempts.erase({run, effect.attempt});
   }
-  void Perform(std::size_t /*run*/, const SendToEndpoint& effect) {
+  void Perform(std::size_t run, const SendToEndpoint& effect) {
     const auto* notice = std::get_if<CrashNotice>(&effect.message);
-    if (notice == nullptr)
+    if (notice == nullptr || cut_off.contains(m_runs[run]))
       return;
     for (std::size_t i = 0; i < m_routers.size(); ++i) {
-      if (Endpoint(i) != effect.endpoint)
+      if (Endpoint(i) != effect.endpoint || cut_off.contains(i))
         continue;
       if (!Chance(m_options.message_loss))
         Deliver(i, *notice);
--- a/source/unit_tests/core/serving/prompt_part_crashes_test.cc
+++ b/source/unit_tests/core/serving/prompt_part_crashes_test.cc
@@ -198,6 +198,33 @@
   EXPECT_EQ(fleet.RefusedAsCrashing(), 0U);
 }
 
+// A router is cut off from the others while the part is convicted.
+TEST(PromptPartCrashes, ARouterThatWasCutOffLearnsOfConvictions) {
+  CrashFleet fleet({.routers = 4, .workers = 24});
+  fleet.deadly = {kDeadlyPart};
+  constexpr std::size_t kCutOff = 3;
+  fleet.cut_off = {kCutOff};
+  for (int i = 0; i < 4; ++i) {
+    for (std::size_t router = 0; router < kCutOff; ++router) {
+      fleet.Request(router, {kSystemPart});
+      fleet.Request(router, {kSystemPart, kDeadlyPart});
+    }
+    fleet.Advance(seconds(1));
+  }
+  ASSERT_GE(fleet.crashes.size(), kFreeCrashes);
+  fleet.cut_off.clear();
+  // The operators' limit holds for routers that are in contact with the others.
+  fleet.Advance(kContactTime);
+  const TimePoint in_contact = fleet.now;
+  ASSERT_GT(in_contact, FifthCrash(fleet) + kContactTime);
+  for (int i = 0; i < 20; ++i) {
+    fleet.Request(kCutOff, {kSystemPart});
+    fleet.Request(kCutOff, {kSystemPart, kDeadlyPart});
+    fleet.Advance(milliseconds(400));
+  }
+  EXPECT_LE(fleet.SentWith(kDeadlyPart, in_contact), kMaxSentAfterwards);
+}
+
 // With many routers, all of them would send to all others at each start.
 TEST(PromptPartCrashes, ConvictionsGoOnlyToTheRouterThatStarted) {
   ServingFixture fixture;
