Keep a connection open while the client reads its response

Callers that read a long last response for more than a second got a part of it and then a reset, and so did readers of a response on a kept connection once the idle time-out had passed. The server counted received bytes as progress but not written ones, so both times ran while the output buffer was still being written. Written bytes are progress now, and nothing expires while output is buffered, unless the socket has accepted none of it for 10 s, the TCP user time-out of these connections. Before it closes an expired connection the server also writes what the socket accepts, since the process may have been paused.

EndsAConnectionWhoseClientDoesNotReadItsLastResponse, new, checks that a client that reads nothing is still closed.

--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -24,8 +24,11 @@
 // A connection with more response bytes unsent than this is closed: its client
 // doesn't read them.
 constexpr std::size_t kMaxUnsentBytes = 16 << 20;
+// A connection with unsent response bytes is closed once its client has read
+// none for this long.
+constexpr Duration kSendTimeout = std::chrono::seconds(10);
 constexpr TcpKeepaliveOptions kClientKeepalive{
-    .user_timeout = std::chrono::seconds(10),
+    .user_timeout = kSendTimeout,
     .probe_interval = std::chrono::seconds(5)};
 
 bool ExpectsContinue(const HttpHead& head) {
@@ -52,10 +55,18 @@
   ConnectionEnd end = ConnectionEnd::kClosedByClient;
   // Whether on_unanswered_close was called for the connection.
   bool is_reported = false;
-  // When the connection was accepted, bytes were last received, a response
-  // ended, or closing began.
+  // When the connection was accepted, bytes were last received, a response was
+  // queued to its end, or closing began.
   TimePoint last_progress;
   TimePoint request_started = kNever;
+
+  // Written bytes count as progress.
+  Duration IdleTime(TimePoint now) const {
+    return now - std::max(last_progress, tcp->last_written());
+  }
+  bool HasStalled(TimePoint now) const {
+    return tcp->unsent_bytes() > 0 && IdleTime(now) > kSendTimeout;
+  }
 };
 
 HttpServer::HttpServer(EventLoop& loop,
@@ -182,7 +193,7 @@
       .is_exchange_open = connection.exchange != 0,
       .unparsed_bytes = connection.tcp->input().size(),
       .unread_bytes = connection.tcp->unread_bytes(),
-      .idle_time = ReadBootClock() - connection.last_progress};
+      .idle_time = connection.IdleTime(ReadBootClock())};
   if (!close.is_exchange_open && close.unparsed_bytes == 0 &&
       close.unread_bytes == 0)
     return;
@@ -356,7 +367,7 @@
   for (const ConnectionId id : idle) {
     // A request that has arrived gets its response.
     if (Connection* connection = Find(id))
-      connection->tcp->ReadPending();
+      connection->tcp->TransferPending();
     Connection* connection = Find(id);
     if (connection != nullptr && is_idle(*connection))
       CloseGracefully(*connection, ConnectionEnd::kShutDown);
@@ -397,12 +408,14 @@
 bool HttpServer::IsExpired(TimePoint now, const Connection& connection) const {
   if (connection.exchange != 0)
     return false;
-  const Duration idle_time = now - connection.last_progress;
-  if (connection.closing)
-    return idle_time > kCloseTimeout;
-  if (connection.parser && !connection.parser->head_done())
+  if (!connection.closing && connection.parser &&
+      !connection.parser->head_done())
     return now - connection.request_started > connection.limits.header_timeout;
-  return idle_time >
+  if (connection.tcp->unsent_bytes() > 0)
+    return connection.HasStalled(now);
+  if (connection.closing)
+    return connection.IdleTime(now) > kCloseTimeout;
+  return connection.IdleTime(now) >
          std::max(m_limits.idle_timeout, connection.limits.idle_timeout);
 }
 
@@ -410,14 +423,16 @@
   Connection* connection = Find(id);
   if (connection == nullptr)
     return;
-  if (connection->closing)
-    return Disconnect(id, connection->end);
   // After a pause of the process or a long handler, the socket may hold a
-  // request that arrived in time.
-  connection->tcp->ReadPending();
+  // request that arrived in time, or accept more of a response.
+  connection->tcp->TransferPending();
   connection = Find(id);
   if (connection == nullptr || !IsExpired(now, *connection))
     return;
+  if (connection->closing)
+    return Disconnect(id, connection->end);
+  if (connection->HasStalled(now))
+    return Disconnect(id, ConnectionEnd::kUnsentLimit);
   if (connection->parser)
     return RejectRequest(*connection, 408, ParseError::kNone);
   CloseGracefully(*connection, ConnectionEnd::kIdle);
--- a/source/frontends/loop/tcp_connection.cc
+++ b/source/frontends/loop/tcp_connection.cc
@@ -13,6 +13,7 @@
 #include <system_error>
 
 #include "common/error.h"
+#include "frontends/boot_clock.h"
 
 namespace boragepick {
 
@@ -165,9 +166,9 @@
     ReportClosed(reason);
 }
 
-void TcpConnection::ReadPending() {
+void TcpConnection::TransferPending() {
   if (!m_closed)
-    OnEvents(EPOLLIN);
+    OnEvents(EPOLLIN | (unsent_bytes() > 0 ? EPOLLOUT : 0U));
 }
 
 std::size_t TcpConnection::unread_bytes() const {
@@ -218,6 +219,7 @@
       return;
     }
     m_has_sent_bytes = true;
+    m_last_written = ReadBootClock();
     m_output_offset += static_cast<std::size_t>(count);
   }
   m_output.clear();
--- a/source/frontends/loop/tcp_connection.h
+++ b/source/frontends/loop/tcp_connection.h
@@ -66,8 +66,9 @@
   TcpConnection& operator=(const TcpConnection&) = delete;
 
   void Send(std::string_view bytes);
-  // Reads what the socket has received, without waiting for the loop.
-  void ReadPending();
+  // Reads what the socket has received, and writes buffered output that it
+  // accepts, without waiting for the loop.
+  void TransferPending();
   // Shuts down the sending side once all buffered output is written.
   void ShutDownSending();
 
@@ -78,6 +79,8 @@
   bool established() const { return m_established; }
   // Whether any byte was written to the socket.
   bool has_sent_bytes() const { return m_has_sent_bytes; }
+  // When the socket last accepted bytes.
+  TimePoint last_written() const { return m_last_written; }
   // The peer closed its sending side, or the connection failed.
   bool read_closed() const { return m_read_closed; }
   // Whether the socket has input, an end of stream or an error that the event
@@ -98,6 +101,7 @@
   bool m_established = false;
   bool m_closed = false;
   bool m_has_sent_bytes = false;
+  TimePoint m_last_written;
   bool m_read_closed = false;
   bool m_shutdown_requested = false;
   bool m_shutdown_done = false;
--- a/source/unit_tests/frontends/http/http_server_test.cc
+++ b/source/unit_tests/frontends/http/http_server_test.cc
@@ -6,6 +6,7 @@
 #include <time.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <memory>
 #include <string>
 #include <thread>
@@ -20,6 +21,46 @@
 using std::chrono::milliseconds;
 
 const std::string kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr std::size_t kLargeBody = std::size_t{32} << 20;
+
+// Reads a response at about ten megabytes a second.
+class SlowReader {
+ public:
+  explicit SlowReader(const Endpoint& endpoint)
+      : m_fd(socket(AF_INET, SOCK_STREAM, 0)) {
+    const sockaddr_in address = LoopbackAddress(endpoint.port);
+    EXPECT_EQ(connect(m_fd, reinterpret_cast<const sockaddr*>(&address),
+                      sizeof(address)),
+              0);
+    send(m_fd, kRequest.data(), kRequest.size(), MSG_NOSIGNAL);
+  }
+  ~SlowReader() { close(m_fd); }
+  SlowReader(const SlowReader&) = delete;
+  SlowReader& operator=(const SlowReader&) = delete;
+
+  // Returns whether the response or the connection has ended.
+  bool ReadSome() {
+    constexpr std::size_t kBytesPerMillisecond = 10'000;
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(
+        ReadBootClock() - m_started_at);
+    const std::size_t allowed =
+        static_cast<std::size_t>(elapsed.count()) * kBytesPerMillisecond;
+    if (m_received >= allowed)
+      return false;
+    std::vector<char> bytes(allowed - m_received);
+    const ssize_t count = recv(m_fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (count > 0)
+      m_received += static_cast<std::size_t>(count);
+    return count == 0 || (count < 0 && errno != EAGAIN) ||
+           m_received > kLargeBody;
+  }
+  std::size_t received() const { return m_received; }
+
+ private:
+  int m_fd;
+  std::size_t m_received = 0;
+  TimePoint m_started_at = ReadBootClock();
+};
 
 class HttpServerTest : public HttpFixture {
  protected:
@@ -28,6 +69,13 @@
       m_server->Post(SendHttpResponse{.id = id});
     });
   }
+  void ServeLargeBodies(const ServerLimits& limits, bool close_connection) {
+    Serve(limits, [this, close_connection](ExchangeId id, const HttpMessage&) {
+      m_server->Post(SendHttpResponse{.id = id,
+                                      .body = std::string(kLargeBody, 'x'),
+                                      .close_connection = close_connection});
+    });
+  }
 };
 
 TEST_F(HttpServerTest, ReportsAClientThatDoesNotReadItsResponse) {
@@ -214,6 +262,34 @@
   EXPECT_TRUE(m_unanswered_closes.empty());
 }
 
+TEST_F(HttpServerTest, EndsAConnectionWhoseClientDoesNotReadItsLastResponse) {
+  ServeLargeBodies({}, /*close_connection=*/true);
+  RawClient client(m_endpoint);
+  client.Send(kRequest);
+  ASSERT_TRUE(RunUntil([&] { return m_server->connection_count() == 1; }));
+  RunFor(milliseconds(4'000));
+  RunFor(milliseconds(4'000));
+  EXPECT_EQ(m_server->connection_count(), 1U);
+  EXPECT_TRUE(RunUntil([&] { return m_server->connection_count() == 0; }));
+}
+
+// The client reads all the time, but the response takes longer than the
+// time-out of a closing connection.
+TEST_F(HttpServerTest, ALastResponseIsCompleteForASlowReader) {
+  ServeLargeBodies({}, /*close_connection=*/true);
+  SlowReader client(m_endpoint);
+  RunUntil([&] { return client.ReadSome(); });
+  EXPECT_GT(client.received(), kLargeBody);
+}
+
+TEST_F(HttpServerTest, AResponseLongerThanTheIdleTimeoutIsComplete) {
+  ServeLargeBodies({.idle_timeout = milliseconds(500)},
+                   /*close_connection=*/false);
+  SlowReader client(m_endpoint);
+  RunUntil([&] { return client.ReadSome(); });
+  EXPECT_GT(client.received(), kLargeBody);
+}
+
 // At the limit, the listener stays readable; watching it would spin the loop.
 TEST_F(HttpServerTest, DoesNotSpinAtTheConnectionLimit) {
   ServeEmptyResponses({.max_connections = 1});
