Let a lowered idle limit take effect while configurations go on changing

A lowered idle time-out never took effect if further versions of the configuration came sooner than the earlier time-out passed, even if they changed something else: idle connections were kept for the earlier time. Each version was compared with the limit in effect, which was still the earlier one, and so began its wait again. A version is now compared with the limit of the version before it, and each earlier limit holds for its own time after the version that lowered it; ASecondLowerLimitKeepsBothEarlierOnes checks that a second lowering doesn't cut the wait of the first one short.

FurtherConfigurationsDontKeepAnEarlierIdleLimit failed before the change: "Value of: client.HasEnded() Actual: false Expected: true"; ASecondLowerLimitKeepsBothEarlierOnes passed then. Both pass now, with all tests of HttpServerTest whose names contain Limit.

--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -328,18 +328,22 @@
 
 void HttpServer::Handle(const ServerLimits& message) {
   const TimePoint now = ReadBootClock();
-  const Duration idle_timeout = CurrentLimits(now).idle_timeout;
+  std::erase_if(m_earlier_idle_timeouts,
+                [now](const auto& earlier) { return earlier.until <= now; });
+  const Duration idle_timeout = m_limits.idle_timeout;
   if (message.idle_timeout < idle_timeout) {
-    m_earlier_idle_timeout = idle_timeout;
-    m_earlier_idle_timeout_until = now + idle_timeout;
+    m_earlier_idle_timeouts.push_back(
+        {.idle_timeout = idle_timeout, .until = now + idle_timeout});
   }
   m_limits = message;
 }
 
 ServerLimits HttpServer::CurrentLimits(TimePoint now) const {
   ServerLimits limits = m_limits;
-  if (now < m_earlier_idle_timeout_until)
-    limits.idle_timeout = std::max(limits.idle_timeout, m_earlier_idle_timeout);
+  for (const EarlierIdleTimeout& earlier : m_earlier_idle_timeouts) {
+    if (now < earlier.until)
+      limits.idle_timeout = std::max(limits.idle_timeout, earlier.idle_timeout);
+  }
   return limits;
 }
 
--- a/source/frontends/http/http_server.h
+++ b/source/frontends/http/http_server.h
@@ -142,6 +142,11 @@
  private:
   using ConnectionId = std::uint64_t;
   struct Connection;
+  struct EarlierIdleTimeout {
+    Duration idle_timeout = Duration::zero();
+    // Applies to connections that become idle before.
+    TimePoint until;
+  };
 
   void AcceptConnections();
   // The listener stays readable while connections wait, so it isn't watched
@@ -183,10 +188,9 @@
 
   EventLoop& m_loop;
   ServerLimits m_limits;
-  // A lowered idle time-out takes effect once the earlier one has passed, since
-  // clients learn of it later than the server.
-  Duration m_earlier_idle_timeout = Duration::zero();
-  TimePoint m_earlier_idle_timeout_until = TimePoint{};
+  // A lowered idle time-out takes effect once the earlier ones have passed,
+  // since clients learn of it later than the server.
+  std::vector<EarlierIdleTimeout> m_earlier_idle_timeouts;
   ServerHandlers m_handlers;
   int m_listener;
   std::unordered_map<ConnectionId, std::unique_ptr<Connection>> m_connections;
--- a/source/unit_tests/frontends/http/http_server_test.cc
+++ b/source/unit_tests/frontends/http/http_server_test.cc
@@ -231,6 +231,29 @@
   EXPECT_TRUE(client.HasEnded());
 }
 
+// Each version of the configuration posts the limits, changed or not.
+TEST_F(HttpServerTest, FurtherConfigurationsDontKeepAnEarlierIdleLimit) {
+  Serve({.idle_timeout = milliseconds(600)}, [](ExchangeId, HttpMessage) {});
+  for (int i = 0; i < 5; ++i) {
+    m_server->Post(ServerLimits{.idle_timeout = milliseconds(100)});
+    RunFor(milliseconds(300));
+  }
+  RawClient client(m_endpoint);
+  RunFor(milliseconds(550));
+  EXPECT_TRUE(client.HasEnded());
+}
+
+TEST_F(HttpServerTest, ASecondLowerLimitKeepsBothEarlierOnes) {
+  ServeEmptyResponses({.idle_timeout = milliseconds(1'000)});
+  m_server->Post(ServerLimits{.idle_timeout = milliseconds(800)});
+  RunFor(milliseconds(950));
+  m_server->Post(ServerLimits{.idle_timeout = milliseconds(50)});
+  RunFor(milliseconds(100));
+  RawClient client(m_endpoint);
+  RunFor(milliseconds(600));
+  EXPECT_FALSE(client.HasEnded());
+}
+
 TEST_F(HttpServerTest, KeepsTheHeaderTimeoutOfARequestThatHasBegun) {
   ServeEmptyResponses({.header_timeout = milliseconds(2'000)});
   RawClient client(m_endpoint);
