Accept waiting connections before the listener is closed

A caller whose connection and request arrived just before a gateway shut down got a reset: the shutdown closed the listener with the connection still in its queue. The server now accepts the queue first; the connections are then read like the idle ones, so that a request that has arrived gets its response. An interrupted accept() or an aborted connection no longer ends the loop, which would leave the rest of the queue. Connections beyond the connection limit are still reset.

AnswersARequestOnAConnectionThatWaitsToBeAccepted failed before the change: "Value of: waiting->Received().starts_with("HTTP/1.1 200") Actual: false Expected: true". It passes now, as do the tests of the connection limit and of a request at the shutdown.

--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -102,8 +102,10 @@
       return PauseAccepting("connection limit");
     const int fd =
         accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0 && (errno == EAGAIN || errno == EINTR || errno == ECONNABORTED))
+    if (fd < 0 && errno == EAGAIN)
       return;
+    if (fd < 0 && (errno == EINTR || errno == ECONNABORTED))
+      continue;
     if (fd < 0)
       return PauseAccepting(std::strerror(errno));
     const ConnectionId id = ++m_last_connection_id;
@@ -355,6 +357,8 @@
   m_draining = true;
   m_shutting_down = true;
   if (m_listener >= 0) {
+    // Closing the listener resets the connections that wait in its queue.
+    AcceptConnections();
     m_loop.RemoveWatch(m_listener);
     close(m_listener);
     m_listener = -1;
--- a/source/unit_tests/frontends/http/http_server_test.cc
+++ b/source/unit_tests/frontends/http/http_server_test.cc
@@ -285,6 +285,23 @@
   EXPECT_TRUE(m_unanswered_closes.empty());
 }
 
+// A new connection waits in the listener's queue when the server shuts down.
+TEST_F(HttpServerTest, AnswersARequestOnAConnectionThatWaitsToBeAccepted) {
+  std::unique_ptr<RawClient> waiting;
+  Serve({}, [&](ExchangeId id, const HttpMessage& request) {
+    if (request.head.target == "/last") {
+      waiting = std::make_unique<RawClient>(m_endpoint);
+      waiting->Send(kRequest);
+      m_server->Post(ShutDownHttpServer{});
+    }
+    m_server->Post(SendHttpResponse{.id = id});
+  });
+  RawClient last(m_endpoint);
+  last.Send("GET /last HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil([&] { return waiting && waiting->HasEnded(); });
+  EXPECT_TRUE(waiting->Received().starts_with("HTTP/1.1 200"));
+}
+
 TEST_F(HttpServerTest, EndsAConnectionWhoseClientDoesNotReadItsLastResponse) {
   ServeLargeBodies({}, /*close_connection=*/true);
   RawClient client(m_endpoint);
