Answer a pipelined request when the server shuts down

A caller that had pipelined a request behind a response lost it without an answer if the gateway shut down before the response ended (E0210, response_complete), or between the response and the parsing of the next request. The first was closed without a look at the input, although its head had promised to keep the connection; the second counted as idle, since only newly read bytes were parsed. Both now read and parse what has arrived before they close, in CloseWithoutRequest. The response to that request announces the close, so at most one more request is answered on each connection.

Before the change AnswersAPipelinedRequestAfterTheShutdown failed with "Expected: has substring "HTTP/1.1 204" Actual: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n 0\r\n\r\n"" and AnswersAPipelinedRequestThatTheShutdownOvertakes with "Actual: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"", each with one unanswered close. Both pass now, with the other tests of the shutdown in HttpServerTest and HttpTest.

--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -60,6 +60,7 @@
   TimePoint last_progress;
   TimePoint request_started = kNever;
 
+  bool IsIdle() const { return exchange == 0 && !parser && !closing; }
   // Written bytes count as progress.
   Duration IdleTime(TimePoint now) const {
     return now - std::max(last_progress, tcp->last_written());
@@ -363,23 +364,25 @@
     close(m_listener);
     m_listener = -1;
   }
-  const auto is_idle = [](const Connection& connection) {
-    return connection.exchange == 0 && !connection.parser &&
-           !connection.closing;
-  };
   std::vector<ConnectionId> idle;
   for (const auto& [id, connection] : m_connections) {
-    if (is_idle(*connection))
+    if (connection->IsIdle())
       idle.push_back(id);
   }
-  for (const ConnectionId id : idle) {
-    // A request that has arrived gets its response.
-    if (Connection* connection = Find(id))
-      connection->tcp->TransferPending();
-    Connection* connection = Find(id);
-    if (connection != nullptr && is_idle(*connection))
-      CloseGracefully(*connection, ConnectionEnd::kShutDown);
-  }
+  for (const ConnectionId id : idle)
+    CloseWithoutRequest(id, ConnectionEnd::kShutDown);
+}
+
+void HttpServer::CloseWithoutRequest(ConnectionId id, ConnectionEnd reason) {
+  if (Connection* connection = Find(id))
+    connection->tcp->TransferPending();
+  Connection* connection = Find(id);
+  if (connection == nullptr || !connection->IsIdle())
+    return;
+  // A pipelined request may have been read with an earlier one.
+  ParseRequest(*connection);
+  if (connection->IsIdle())
+    CloseGracefully(*connection, reason);
 }
 
 void HttpServer::CompleteResponse(Connection& connection) {
@@ -388,16 +391,19 @@
   connection.chunked = false;
   connection.last_progress = ReadBootClock();
   connection.limits = CurrentLimits(connection.last_progress);
-  // A streamed response that began before the drain promised to keep the
-  // connection open. It is closed all the same, since the client would send its
-  // next request to a process that is shutting down.
-  if (!connection.keep_alive || m_shutting_down)
+  if (!connection.keep_alive)
     return CloseGracefully(connection, ConnectionEnd::kResponseComplete);
   // The next request may have been pipelined with this one.
   m_loop.Defer([this, id = connection.id] {
     Connection* found = Find(id);
-    if (found != nullptr && found->exchange == 0 && !found->closing)
-      ParseRequest(*found);
+    if (found == nullptr || found->exchange != 0 || found->closing)
+      return;
+    // A streamed response that began before the drain promised to keep the
+    // connection open. It is closed all the same, since the client would send
+    // its next request to a process that is shutting down.
+    if (m_shutting_down)
+      return CloseWithoutRequest(id, ConnectionEnd::kResponseComplete);
+    ParseRequest(*found);
   });
 }
 
--- a/source/frontends/http/http_server.h
+++ b/source/frontends/http/http_server.h
@@ -161,6 +161,8 @@
   // Shuts down the sending side; the connection is removed once the client has
   // closed its side or a time-out has passed.
   void CloseGracefully(Connection& connection, ConnectionEnd reason);
+  // Closes the connection gracefully, unless a request on it has arrived.
+  void CloseWithoutRequest(ConnectionId id, ConnectionEnd reason);
   // Closes the connection at once, with the exchange on it, if any.
   void Disconnect(ConnectionId id, ConnectionEnd reason);
   void RemoveConnection(ConnectionId id);
--- a/source/unit_tests/frontends/http/http_server_test.cc
+++ b/source/unit_tests/frontends/http/http_server_test.cc
@@ -1,6 +1,7 @@
 // Tests of the ends of the server's connections, with clients that send raw
 // bytes.
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <time.h>
@@ -302,6 +303,41 @@
   EXPECT_TRUE(waiting->Received().starts_with("HTTP/1.1 200"));
 }
 
+// A request is pipelined behind a response that ends during the shutdown and
+// whose head didn't announce the close.
+TEST_F(HttpServerTest, AnswersAPipelinedRequestAfterTheShutdown) {
+  Serve({}, [&](ExchangeId id, const HttpMessage& request) {
+    if (request.head.target != "/stream")
+      return m_server->Post(SendHttpResponse{.id = id, .status = 204});
+    m_server->Post(SendHttpResponseHead{.id = id, .status = 200});
+    m_loop.StartTimer(ReadBootClock() + milliseconds(100), [this, id] {
+      m_server->Post(ShutDownHttpServer{});
+      m_server->Post(EndHttpResponse{.id = id});
+    });
+  });
+  RawClient client(m_endpoint);
+  client.Send("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n" + kRequest);
+  RunUntil([&] { return client.HasEnded(); });
+  EXPECT_THAT(client.Received(), testing::HasSubstr("HTTP/1.1 204"));
+  EXPECT_EQ(m_unanswered_closes.size(), 0U);
+}
+
+// The shutdown is handled between a response and the request that was pipelined
+// behind it.
+TEST_F(HttpServerTest, AnswersAPipelinedRequestThatTheShutdownOvertakes) {
+  Serve({}, [&](ExchangeId id, const HttpMessage& request) {
+    if (request.head.target != "/first")
+      return m_server->Post(SendHttpResponse{.id = id, .status = 204});
+    m_server->Post(SendHttpResponse{.id = id});
+    m_server->Post(ShutDownHttpServer{});
+  });
+  RawClient client(m_endpoint);
+  client.Send("GET /first HTTP/1.1\r\nHost: h\r\n\r\n" + kRequest);
+  RunUntil([&] { return client.HasEnded(); });
+  EXPECT_THAT(client.Received(), testing::HasSubstr("HTTP/1.1 204"));
+  EXPECT_EQ(m_unanswered_closes.size(), 0U);
+}
+
 TEST_F(HttpServerTest, EndsAConnectionWhoseClientDoesNotReadItsLastResponse) {
   ServeLargeBodies({}, /*close_connection=*/true);
   RawClient client(m_endpoint);
