Send buffered responses before a draining gateway exits

A gateway that had been drained exited 150 ms after its last response was queued, and a caller that hadn't read it by then lost what was still in the gateway's own output buffer. The process now looks every 150 ms whether a connection has unsent bytes, and exits once there are none, or at the drain limit (the grace period less 400 ms) and 150 ms, the latest time at which it exited before. A caller that reads nothing can so delay the exit, within the grace period.

HasUnsentBytesUntilASlowReaderHasCaughtUp checks the condition on a shut-down server. No test drains a whole process with a slow reader: that this loss has gone was not shown end to end.

--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -157,6 +157,12 @@
   return found == m_exchanges.end() ? nullptr : Find(found->second);
 }
 
+bool HttpServer::HasUnsentBytes() const {
+  return std::ranges::any_of(m_connections, [](const auto& entry) {
+    return entry.second->tcp->unsent_bytes() > 0;
+  });
+}
+
 void HttpServer::OnReceived(ConnectionId id) {
   Connection* connection = Find(id);
   if (connection == nullptr)
--- a/source/frontends/http/http_server.h
+++ b/source/frontends/http/http_server.h
@@ -134,6 +134,9 @@
 
   void Post(ServerMessage message) { m_mailbox.Post(std::move(message)); }
   std::size_t connection_count() const { return m_connections.size(); }
+  // Whether responses are buffered that their clients' sockets don't accept
+  // yet.
+  bool HasUnsentBytes() const;
   // Connections closed while a request on them had no response, by reason.
   const std::map<ConnectionEnd, std::uint64_t>& unanswered_closes() const {
     return m_unanswered_closes;
--- a/source/frontends/serving/caller_frontend.h
+++ b/source/frontends/serving/caller_frontend.h
@@ -112,6 +112,7 @@
     return m_server.unanswered_closes();
   }
   std::size_t connection_count() const { return m_server.connection_count(); }
+  bool HasUnsentBytes() const { return m_server.HasUnsentBytes(); }
 
   // From now on, each response closes its connection.
   void Drain() { m_server.Post(DrainHttpServer{}); }
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -3,6 +3,7 @@
 // deployment's formats.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -229,6 +230,9 @@
   }
 
  private:
+  // Time in which the last responses are sent.
+  static constexpr Duration kExitDelay = std::chrono::milliseconds(150);
+
   void RequestIncarnation() {
     this->RequestRunNumber(
         m_store, [this](std::optional<StoreRevision> number) {
@@ -244,8 +248,6 @@
   ServingOptions MakeRouterOptions() const {
     using std::chrono::milliseconds;
     constexpr double kPercent = 100;
-    // The process must exit before it is killed at the end of the grace period.
-    constexpr auto kExitMargin = milliseconds(400);
     return {
         .vm = m_settings.vm,
         .data_centre = m_settings.data_centre,
@@ -257,7 +259,13 @@
         .retry_share = static_cast<double>(m_settings.retry_percent) / kPercent,
         .retry_reserve = static_cast<double>(m_settings.retry_reserve),
         .quota_slack = m_settings.quota_slack,
-        .drain_limit = std::chrono::seconds(m_settings.grace_s) - kExitMargin};
+        .drain_limit = DrainLimit()};
+  }
+
+  Duration DrainLimit() const {
+    // The process must exit before it is killed at the end of the grace period.
+    constexpr auto kExitMargin = std::chrono::milliseconds(400);
+    return std::chrono::seconds(m_settings.grace_s) - kExitMargin;
   }
 
   std::function<void(ServingEvent)> MakeEventCallback() {
@@ -292,9 +300,8 @@
   void Dispatch(LogEffect effect) { m_log.Post(std::move(effect.record)); }
   void Dispatch(const StopAccepting&) { m_frontend.Finish(); }
   void Dispatch(const ServingDrained&) {
-    // Time in which the last responses are sent.
-    constexpr auto kExitDelay = std::chrono::milliseconds(150);
-    m_loop.StartTimer(ReadBootClock() + kExitDelay, [this] { m_loop.Quit(); });
+    m_loop.StartTimer(ReadBootClock() + kExitDelay,
+                      [this] { QuitOnceResponsesAreSent(); });
   }
   // All effects that concern responses and callers.
   template <typename CallerEffect>
@@ -382,13 +389,25 @@
     m_machine.Post(WorkerListRestored{});
   }
 
+  void QuitOnceResponsesAreSent() {
+    const TimePoint now = ReadBootClock();
+    if (now >= m_exit_deadline || !m_frontend.HasUnsentBytes())
+      return m_loop.Quit();
+    m_loop.StartTimer(std::min(now + kExitDelay, m_exit_deadline),
+                      [this] { QuitOnceResponsesAreSent(); });
+  }
+
   void Drain() {
+    if (m_exit_deadline == kNever)
+      m_exit_deadline = ReadBootClock() + DrainLimit() + kExitDelay;
     m_frontend.Drain();
     m_machine.Post(ServingDrainRequested{});
   }
 
   std::string FormatMetrics() const;
 
+  // When a draining process exits even with responses unsent.
+  TimePoint m_exit_deadline = kNever;
   ServingRouter m_router;
   LoopMachineTask<ServingRouter> m_machine;
   CrossThreadMailbox<PeerMessageReceived> m_inbox;
--- a/source/unit_tests/frontends/http/http_server_test.cc
+++ b/source/unit_tests/frontends/http/http_server_test.cc
@@ -358,6 +358,19 @@
   EXPECT_GT(client.received(), kLargeBody);
 }
 
+TEST_F(HttpServerTest, HasUnsentBytesUntilASlowReaderHasCaughtUp) {
+  ServeLargeBodies({}, /*close_connection=*/true);
+  EXPECT_FALSE(m_server->HasUnsentBytes());
+  SlowReader client(m_endpoint);
+  EXPECT_TRUE(RunUntil([&] { return m_server->HasUnsentBytes(); }));
+  m_server->Post(ShutDownHttpServer{});
+  EXPECT_TRUE(RunUntil(
+      [&] { return client.ReadSome() || !m_server->HasUnsentBytes(); }));
+  EXPECT_FALSE(m_server->HasUnsentBytes());
+  RunUntil([&] { return client.ReadSome(); });
+  EXPECT_GT(client.received(), kLargeBody);
+}
+
 TEST_F(HttpServerTest, AResponseLongerThanTheIdleTimeoutIsComplete) {
   ServeLargeBodies({.idle_timeout = milliseconds(500)},
                    /*close_connection=*/false);
