Count each part of a plain response as progress

Callers of idempotent routes could wait for a second run although the first one was responding: a plain response whose head and body arrived for longer than the silence timeout (twice the latency objective, at least 250 ms) was given up as silent, and its worker was counted as failing. Only events of streams recorded progress; the head and the body of other responses left the time of the last progress at the moment of sending.

Both are recorded now. RecordProgress changes the schedule only if no earlier check is due, so a part of a body costs no operation on the set of checks; the check itself moves to the new time. The head of a stream still counts for nothing: engines may send it long before the first event, and a silent stream is given up as before.

--- a/source/core/serving/request_responses.cc
+++ b/source/core/serving/request_responses.cc
@@ -80,6 +80,9 @@
     return HandleAttemptFailure(now, *exchange,
                                 "status " + std::to_string(head.status));
   attempt.head = std::move(head);
+  // Only its events show that a stream makes progress.
+  if (!IsStream(*exchange))
+    RecordProgress(now, *exchange);
 }
 
 void RequestTable::OnResponseBody(TimePoint now,
@@ -93,6 +96,7 @@
   if (IsStream(*exchange))
     return ForwardEvents(now, *exchange, bytes);
   attempt.body_started = true;
+  RecordProgress(now, *exchange);
   if (exchange->head_sent) {
     m_state.Emit(SendResponseBody{.id = exchange->request->id,
                                   .bytes = std::string(bytes)});
--- a/source/unit_tests/core/serving/serving_silence_test.cc
+++ b/source/unit_tests/core/serving/serving_silence_test.cc
@@ -93,6 +93,39 @@
   EXPECT_EQ(fixture.TakeEffects<SendResponse>().size(), 1U);
 }
 
+// The body arrives slowly, but without a pause.
+TEST_F(ServingSilence, APlainResponseThatKeepsArrivingIsNotSilent) {
+  ServingFixture fixture(OptionsWithRetries(50));
+  fixture.Start();
+  fixture.ReceiveRequest("/read/1");
+  const auto sent = fixture.TakeEffects<SendAttempt>();
+  ASSERT_EQ(sent.size(), 1U);
+  fixture.Advance(milliseconds(100));
+  fixture.RespondHead(sent[0].attempt);
+  for (int i = 0; i < 8; ++i) {
+    fixture.Handle(
+        AttemptBodyReceived{.attempt = sent[0].attempt, .bytes = "part"});
+    fixture.Advance(milliseconds(50));
+  }
+  EXPECT_TRUE(fixture.TakeEffects<CancelAttempt>().empty());
+  fixture.Handle(AttemptCompleted{.attempt = sent[0].attempt});
+  EXPECT_EQ(fixture.TakeEffects<SendResponse>().size(), 1U);
+}
+
+TEST_F(ServingSilence, APlainResponseIsNotSilentRightAfterItsHead) {
+  ServingFixture fixture(OptionsWithRetries(50));
+  fixture.Start();
+  fixture.ReceiveRequest("/read/1");
+  const auto sent = fixture.TakeEffects<SendAttempt>();
+  ASSERT_EQ(sent.size(), 1U);
+  fixture.Advance(milliseconds(200));
+  fixture.RespondHead(sent[0].attempt);
+  fixture.Advance(milliseconds(200));
+  EXPECT_TRUE(fixture.TakeEffects<CancelAttempt>().empty());
+  fixture.Advance(milliseconds(100));
+  EXPECT_EQ(fixture.TakeEffects<CancelAttempt>().size(), 1U);
+}
+
 // The worker that would take a silent stream over may be full.
 TEST_F(ServingSilence, HoldsASilentStreamThatTheNextWorkerRejects) {
   ServingFixture fixture(OptionsWithRetries(50));
