Resume a silent stream although its attempts were used up

A caller's stream whose worker had fallen silent could end at its deadline although a worker was free: after the run was given up, up to four full workers rejected the request, and a held stream with five attempts was never dispatched again, since Dispatch asked for an attempt below kMaxAttempts as well as for the retry budget. If the fifth attempt could not be sent, the stream was aborted at once.

Such a stream now waits for the retry budget only, also after an attempt that was not sent. A request isn't sent twice to a worker with its model that rejected it, and each further attempt takes a retry from the budget, so the fleet's limit of retries holds. When a run is given up doesn't change: CanRetry keeps a silent run that is the last attempt, which KeepsASilentAttemptThatIsTheLastOne pins (it passes without the fix too).

--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -10,7 +10,8 @@
 // A router may use this many times its equal share of a worker's connections,
 // because callers are distributed unevenly over the routers.
 constexpr double kConnectionShareFactor = 1.5;
-// Attempts of one request, including rejected ones.
+// Attempts of one request, including rejected ones. A stream that is held after
+// its worker fell silent may exceed this.
 constexpr std::uint32_t kMaxAttempts = 5;
 // Held requests are dispatched again at least this often.
 constexpr Duration kHoldCheckPeriod = std::chrono::milliseconds(100);
@@ -49,7 +50,6 @@
     return;
   if (exchange.awaits_retry_budget) {
     exchange.awaits_retry_budget =
-        exchange.attempts_sent >= kMaxAttempts ||
         !RetryBudgetFor(exchange.service).TryConsume();
     if (exchange.awaits_retry_budget)
       return Hold(now, exchange, "no_retry_budget");
@@ -237,7 +237,12 @@
     m_state.workers.RecordFailure(now, *worker);
   exchange->tried_workers.insert(exchange->attempt->worker);
   CloseAttempt(*exchange);
-  if (exchange->attempts_sent >= kMaxAttempts)
+  const bool is_last = exchange->attempts_sent >= kMaxAttempts;
+  if (is_last && exchange->head_sent && exchange->last_run_was_silent) {
+    exchange->awaits_retry_budget = true;
+    return Hold(now, *exchange, reason);
+  }
+  if (is_last)
     return exchange->head_sent ? Abort(now, *exchange, reason)
                                : Refuse(now, *exchange,
                                         exchange->possible_runs > 0
--- a/source/unit_tests/core/serving/serving_silence_test.cc
+++ b/source/unit_tests/core/serving/serving_silence_test.cc
@@ -42,6 +42,16 @@
     fixture.Handle(AttemptHeadReceived{
         .attempt = attempt, .head = {.status = 503, .not_executed = true}});
   }
+  // Rejects the only attempt that was sent.
+  static void RejectAttempt(ServingFixture& fixture) {
+    const auto sent = fixture.TakeEffects<SendAttempt>();
+    ASSERT_EQ(sent.size(), 1U);
+    Reject(fixture, sent[0].attempt);
+  }
+  static void ListMoreEngines(ServingFixture& fixture) {
+    for (const char* id : {"w4", "w5", "w6", "w7"})
+      fixture.Handle(WorkerListed{.entry = EngineWorker(id, {"m1"})});
+  }
 
   RequestId m_request = 0;
 };
@@ -147,6 +157,64 @@
   EXPECT_EQ(fixture.TakeEffects<EndResponse>().size(), 1U);
 }
 
+// Several workers may be full.
+TEST_F(ServingSilence, ResumesASilentStreamAfterItsAttemptsWereRejected) {
+  ServingFixture fixture(OptionsWithRetries(500));
+  fixture.Start();
+  ListMoreEngines(fixture);
+  BeginStream(fixture);
+  fixture.Advance(milliseconds(1'600));
+  EXPECT_EQ(fixture.TakeEffects<CancelAttempt>().size(), 1U);
+  for (int i = 0; i < 4; ++i)
+    RejectAttempt(fixture);
+  fixture.Handle(WorkerListed{.entry = EngineWorker("w9", {"m1"})});
+  fixture.Advance(milliseconds(200));
+  const auto sent = fixture.TakeEffects<SendAttempt>();
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_EQ(sent[0].resume_after, 1U);
+  fixture.RespondHead(sent[0].attempt);
+  fixture.RespondEvent(sent[0].attempt, 2);
+  fixture.Handle(AttemptCompleted{.attempt = sent[0].attempt});
+  EXPECT_FALSE(WasAborted(fixture));
+  EXPECT_EQ(fixture.TakeEffects<EndResponse>().size(), 1U);
+}
+
+TEST_F(ServingSilence, ResumesASilentStreamAfterItsLastAttemptWasNotSent) {
+  ServingFixture fixture(OptionsWithRetries(500));
+  fixture.Start();
+  ListMoreEngines(fixture);
+  BeginStream(fixture);
+  fixture.Advance(milliseconds(1'600));
+  for (int i = 0; i < 3; ++i)
+    RejectAttempt(fixture);
+  const auto refused = fixture.TakeEffects<SendAttempt>();
+  ASSERT_EQ(refused.size(), 1U);
+  fixture.Handle(AttemptFailed{.attempt = refused[0].attempt,
+                               .failure = AttemptFailure::kNotSent});
+  EXPECT_FALSE(WasAborted(fixture));
+  fixture.Advance(milliseconds(200));
+  EXPECT_EQ(fixture.TakeEffects<SendAttempt>().size(), 1U);
+}
+
+TEST_F(ServingSilence, KeepsASilentAttemptThatIsTheLastOne) {
+  ServingFixture fixture(OptionsWithRetries(500));
+  fixture.Start();
+  ListMoreEngines(fixture);
+  fixture.ReceiveRequest("/ask/1", "m1");
+  for (int i = 0; i < 4; ++i)
+    RejectAttempt(fixture);
+  const auto sent = fixture.TakeEffects<SendAttempt>();
+  ASSERT_EQ(sent.size(), 1U);
+  fixture.effects.clear();
+  fixture.RespondHead(sent[0].attempt);
+  fixture.RespondEvent(sent[0].attempt, 1);
+  fixture.Advance(seconds(3));
+  EXPECT_TRUE(fixture.TakeEffects<CancelAttempt>().empty());
+  fixture.RespondEvent(sent[0].attempt, 2);
+  fixture.Handle(AttemptCompleted{.attempt = sent[0].attempt});
+  EXPECT_EQ(fixture.TakeEffects<EndResponse>().size(), 1U);
+}
+
 // The retries of other requests may spend the budget in the meantime.
 TEST_F(ServingSilence, HoldsARejectedSilentStreamUntilTheBudgetAllowsARetry) {
   ServingFixture fixture(OptionsWithRetries(50));
