Let requests of the serving history repeat and crash workers again

Since each request of the serving history had a path of its own, so that requests that crash workers don't convict others. With that the quarantine of whole requests was exercised no more: with unique paths no request is refused as crashing workers (the new test prints refused: 0, expected > 0).

One request in four repeats an earlier one of its kind, and a worker that resets a connection is listed as a new process, without which two workers could not crash three times. An aborted stream is excused by other requests only if requests with its path crashed three workers; for unique paths the check is as strict as before. RefusesRepeatedRequestsThatCrashWorkers keeps the quarantine in the history, and the property reports its share. The limit of pauses has its reason now: a sound worker may be silent for about a second, and the router waits for 1.5 s.

--- a/source/unit_tests/core/serving/serving_history_test.cc
+++ b/source/unit_tests/core/serving/serving_history_test.cc
@@ -35,10 +35,15 @@
 };
 constexpr std::uint64_t kBehaviourCount = 8;
 constexpr int kEvents = 5;
+// A sound worker may fall silent for about a second. A stream is given up as
+// silent after 1.5 s.
 constexpr Duration kMaxPause = milliseconds(1'300);
+// One of this many requests repeats an earlier one.
+constexpr std::uint64_t kRepeatPeriod = 4;
 constexpr Duration kMinTimeout = milliseconds(8'000);
 
 struct Outcome {
+  std::string path;
   bool repeatable = false;
   bool stream = false;
   int runs = 0;
@@ -70,6 +75,12 @@
       Advance(milliseconds(50));
   }
 
+  std::uint64_t RefusedAsCrashing() const {
+    const auto& refused = m_fixture.router().requests().metrics().refused;
+    const auto found = refused.find(ServingRefusal::kBreaksWorkers);
+    return found == refused.end() ? 0 : found->second;
+  }
+
   void Check() const {
     for (const auto& [id, outcome] : m_outcomes) {
       RC_ASSERT(outcome.ended || outcome.aborted_at || outcome.refused);
@@ -81,7 +92,11 @@
       if (outcome.stream && outcome.ended)
         RC_ASSERT(outcome.body == CompleteBody());
       RC_ASSERT(CompleteBody().starts_with(outcome.body) || !outcome.stream);
-      if (outcome.aborted_at && !outcome.worker_failed)
+      const auto resets = m_resets_by_path.find(outcome.path);
+      const bool breaks_workers =
+          resets != m_resets_by_path.end() &&
+          resets->second >= CrashSuspects::kCrashesToRefuse;
+      if (outcome.aborted_at && !outcome.worker_failed && !breaks_workers)
         RC_ASSERT(*outcome.aborted_at - outcome.arrived >= kMinTimeout);
     }
     RC_ASSERT(OpenRequests() == 0U);
@@ -155,9 +170,12 @@
                                       {"/book/", "", false, false},
                                       {"/read/", "", true, false}};
     const Kind& kind = kKinds[m_random.Below(4)];
-    // Requests differ, or those that crash workers would convict the others.
-    const RequestId id = m_fixture.ReceiveRequest(
-        kind.path + std::to_string(m_outcomes.size()), kind.model);
+    // Equal requests are refused together if they crash workers.
+    const bool repeats = m_random.Below(kRepeatPeriod) == 0;
+    const std::string path =
+        kind.path + (repeats ? "same" : std::to_string(m_outcomes.size()));
+    const RequestId id = m_fixture.ReceiveRequest(path, kind.model);
+    m_outcomes[id].path = path;
     m_outcomes[id].arrived = m_fixture.now;
     m_outcomes[id].repeatable = kind.repeatable;
     m_outcomes[id].stream = kind.stream;
@@ -184,9 +202,7 @@
         return;
       case WorkerBehaviour::kResetBeforeResponse:
         ++outcome.runs;
-        outcome.worker_failed = true;
-        m_fixture.Handle(AttemptFailed{.attempt = sent.attempt,
-                                       .failure = AttemptFailure::kReset});
+        ResetConnection(sent);
         return;
       case WorkerBehaviour::kSilent:
         ++outcome.runs;
@@ -256,9 +272,19 @@
       m_fixture.Handle(AttemptCompleted{.attempt = sent.attempt});
       return;
     }
-    m_outcomes.at(sent.request->id).worker_failed = true;
+    ResetConnection(sent);
+  }
+
+  // The worker crashes and starts again.
+  void ResetConnection(const SendAttempt& sent) {
+    Outcome& outcome = m_outcomes.at(sent.request->id);
+    outcome.worker_failed = true;
+    ++m_resets_by_path[outcome.path];
     m_fixture.Handle(AttemptFailed{.attempt = sent.attempt,
                                    .failure = AttemptFailure::kReset});
+    WorkerEntry restarted = m_workers.at(sent.worker);
+    restarted.contents.born = ++m_last_start;
+    m_fixture.Handle(WorkerListed{.entry = std::move(restarted)});
   }
 
   void On(const RefuseRequest& refused) {
@@ -286,6 +312,15 @@
   std::map<RequestId, Outcome> m_outcomes;
   // Paused responses by the time at which they go on.
   std::multimap<TimePoint, SendAttempt> m_pauses;
+  // Crashes of workers by the path of the request.
+  std::map<std::string, std::size_t> m_resets_by_path;
+  const std::map<std::string, WorkerEntry> m_workers = {
+      {"w1", EngineWorker("w1", {"m1", "m2"})},
+      {"w2", EngineWorker("w2", {"m1"})},
+      {"w3", EngineWorker("w3", {})},
+      {"p1", PlainWorker("p1")},
+      {"p2", PlainWorker("p2")}};
+  std::int64_t m_last_start = 1;
   std::uint64_t m_version = 1;
 };
 
@@ -293,6 +328,17 @@
   History history(*rc::gen::arbitrary<std::uint64_t>());
   history.Run(60);
   history.Check();
+  RC_CLASSIFY(history.RefusedAsCrashing() > 0, "refused as crashing workers");
+}
+
+TEST(ServingHistory, RefusesRepeatedRequestsThatCrashWorkers) {
+  std::uint64_t refused = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    History history(seed);
+    history.Run(60);
+    refused += history.RefusedAsCrashing();
+  }
+  EXPECT_GT(refused, 0U);
 }
 
 }  // namespace
