Correct the comments on silent streams and name statuses plainly

The comment on the silence of streams said that callers wait for twice that time, which is wrong at its minimum of 1.5 s: they leave after a gap of two seconds, four times the latency objective or eight times the longest permitted gap. Another comment split an if without braces. The heading of the tests of silence contradicted the test that aborts a held stream at its deadline, and tests of responses called a status that guarantees no run a promise.

--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -132,11 +132,13 @@
   exchange.stage = ExchangeStage::kHeld;
   if (m_held.insert(exchange.request->id).second)
     ++m_held_by_weights[exchange.weights];
+  // A stream whose worker fell silent is held until its deadline, since its
+  // caller may wait longer than kMaxResumeHold.
   TimePoint limit = exchange.arrived + HoldLimit(exchange);
-  if (exchange.head_sent)
-    // Silence is no reason to end a response before its caller does.
-    limit = exchange.last_run_was_silent ? exchange.deadline
-                                         : exchange.held_since + kMaxResumeHold;
+  if (exchange.head_sent && exchange.last_run_was_silent)
+    limit = exchange.deadline;
+  else if (exchange.head_sent)
+    limit = exchange.held_since + kMaxResumeHold;
   if (now >= limit) {
     if (exchange.head_sent)
       return Abort(now, exchange, reason);
--- a/source/core/serving/request_silence.cc
+++ b/source/core/serving/request_silence.cc
@@ -19,8 +19,9 @@
 constexpr Duration kMinSilenceTimeout = std::chrono::milliseconds(250);
 // A stream is sent to another worker after this many times its objective,
 // before its first event and between events. A sound worker may pause a stream
-// for about a second. Callers give up a stream after twice this time, so that
-// another worker has time to resume it.
+// for about a second. Callers give up a stream after a gap of two seconds, four
+// times its latency objective or eight times its longest permitted gap,
+// whichever is longest.
 constexpr int kStreamSilenceInLatencies = 2;
 constexpr int kStreamSilenceInGaps = 4;
 constexpr Duration kMinStreamSilence = std::chrono::milliseconds(1'500);
--- a/source/unit_tests/core/serving/serving_history_test.cc
+++ b/source/unit_tests/core/serving/serving_history_test.cc
@@ -86,8 +86,9 @@
       RC_ASSERT(outcome.ended || outcome.aborted_at || outcome.refused);
       if (!outcome.repeatable)
         RC_ASSERT(outcome.runs <= 1);
-      const bool promises = outcome.refused == 429U || outcome.refused == 503U;
-      if (promises && !outcome.repeatable)
+      const bool guarantees_no_run =
+          outcome.refused == 429U || outcome.refused == 503U;
+      if (guarantees_no_run && !outcome.repeatable)
         RC_ASSERT(outcome.runs == 0);
       if (outcome.stream && outcome.ended)
         RC_ASSERT(outcome.body == CompleteBody());
--- a/source/unit_tests/core/serving/serving_responses_test.cc
+++ b/source/unit_tests/core/serving/serving_responses_test.cc
@@ -101,8 +101,8 @@
   EXPECT_TRUE(second.new_connection);
 }
 
-// Callers take these statuses for a promise that the request never runs.
-TEST_F(ServingResponses, PromiseWithoutTheStatementThatNothingRanIsAFailure) {
+// Callers take these statuses for a guarantee that the request never runs.
+TEST_F(ServingResponses, StatusThatGuaranteesNoRunIsAFailureIfUnproven) {
   m_fixture->Start();
   for (const unsigned status : {408U, 429U, 503U}) {
     m_fixture->ReceiveRequest("/book/1");
@@ -115,7 +115,8 @@
   }
 }
 
-TEST_F(ServingResponses, RepeatableRequestIsRetriedAfterAnUnprovenPromise) {
+TEST_F(ServingResponses,
+       RepeatableRequestIsRetriedAfterAnUnprovenGuaranteeOfNoRun) {
   const SendAttempt first = SendRequest("/read/1");
   m_fixture->RespondHead(first.attempt, 429);
   EXPECT_NE(TakeAttempt().worker, first.worker);
--- a/source/unit_tests/core/serving/serving_silence_test.cc
+++ b/source/unit_tests/core/serving/serving_silence_test.cc
@@ -1,4 +1,5 @@
-// Tests of workers that fall silent: silence alone never ends a response.
+// Tests of workers that fall silent: a response isn't ended for silence before
+// its deadline.
 
 #include <gtest/gtest.h>
 
