Keep the parts of all runs that a crash broke

What callers could see: a part that crashes workers is never convicted if more than 128 other runs wait at the workers and are reported first.

Cause: only 128 runs were kept of one crash, and later ones were dropped. The parts of further runs now join those of the last one, up to 1,024.

--- a/source/core/serving/prompt_part_suspects.cc
+++ b/source/core/serving/prompt_part_suspects.cc
@@ -1,6 +1,7 @@
 #include "core/serving/prompt_part_suspects.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "common/hashing.h"
@@ -12,6 +13,14 @@
 // Interval between removals of old evidence.
 constexpr Duration kCleanupPeriod = std::chrono::seconds(10);
 
+// Adds `added` to the sorted `parts`.
+void MergeParts(std::vector<PromptPartId>& parts,
+                const std::vector<PromptPartId>& added) {
+  std::vector<PromptPartId> merged;
+  std::ranges::set_union(parts, added, std::back_inserter(merged));
+  parts = std::move(merged);
+}
+
 // Counts crashes that are too far apart to have one common cause.
 std::size_t CountSeparate(
     std::vector<TimePoint> times,
@@ -49,7 +58,8 @@
       std::ranges::any_of(runs, [&parts](const BrokenRun& run) {
         return std::ranges::includes(run.parts, parts);
       });
-  if (is_known || runs.size() >= kMaxRunsPerCrash)
+  const bool is_full = runs.size() >= kMaxRunsPerCrash;
+  if (is_known || (is_full && runs.back().parts.size() >= kMaxMergedParts))
     return false;
   for (const PromptPartId part : parts) {
     TimePoint& since = m_suspected_since.emplace(part, at).first->second;
@@ -59,7 +69,10 @@
       has_evicted || std::ranges::any_of(parts, [this](PromptPartId part) {
         return CountCrashes(part) + 1 >= kCrashesToConvict;
       });
-  runs.push_back({.at = at, .parts = std::move(parts)});
+  if (is_full)
+    MergeParts(runs.back().parts, parts);
+  else
+    runs.push_back({.at = at, .parts = std::move(parts)});
   if (may_convict)
     Convict();
   return true;
--- a/source/core/serving/prompt_part_suspects.h
+++ b/source/core/serving/prompt_part_suspects.h
@@ -52,6 +52,8 @@
   static constexpr Duration kComparisonTurn = std::chrono::seconds(1);
   static constexpr std::size_t kMaxCrashes = 64;
   static constexpr std::size_t kMaxRunsPerCrash = 128;
+  // The parts of further runs are added to the last one, up to this number.
+  static constexpr std::size_t kMaxMergedParts = 1'024;
 
   // Records that a run with these parts was broken by a crash at `at`. Returns
   // whether this is new evidence.
--- a/source/unit_tests/core/serving/prompt_part_suspects_test.cc
+++ b/source/unit_tests/core/serving/prompt_part_suspects_test.cc
@@ -16,8 +16,9 @@
 class PromptPartSuspectsTest : public testing::Test {
  protected:
   // Records a crash that broke runs with these parts.
-  void Crash(std::vector<std::vector<PromptPartId>> runs) {
-    now += seconds(1);
+  void Crash(std::vector<std::vector<PromptPartId>> runs,
+             Duration after = seconds(1)) {
+    now += after;
     const std::string crash = "w" + std::to_string(++m_crashes) + "/1";
     for (std::vector<PromptPartId>& parts : runs)
       suspects.RecordBrokenRun(now, crash, std::move(parts));
@@ -159,6 +160,19 @@
   EXPECT_LE(suspects.crashes(), PromptPartSuspects::kMaxCrashes);
 }
 
+// More runs broke than are kept of one crash.
+TEST_F(PromptPartSuspectsTest, ConvictsAPartWhoseRunIsReportedLast) {
+  PromptPartId other = 1'000;
+  for (int crash = 0; crash < 6; ++crash) {
+    std::vector<std::vector<PromptPartId>> runs;
+    for (std::size_t i = 0; i < PromptPartSuspects::kMaxRunsPerCrash; ++i)
+      runs.push_back({++other});
+    runs.push_back({2});
+    Crash(std::move(runs));
+  }
+  EXPECT_TRUE(IsRefused({2}));
+}
+
 TEST_F(PromptPartSuspectsTest, OneRouterProbesAndAFailedProbeDelaysTheNext) {
   routers = {"r1", "r2", "r3"};
   for (int i = 0; i < 4; ++i)
