--- a/source/unit_tests/core/serving/prompt_part_crashes_test.cc
+++ b/source/unit_tests/core/serving/prompt_part_crashes_test.cc
@@ -225,6 +225,40 @@
   EXPECT_LE(fleet.SentWith(kDeadlyPart, in_contact), kMaxSentAfterwards);
 }
 
+// Workers reset connections beyond their limit, but run on.
+TEST(PromptPartCrashes, ResetsByWorkersThatRunOnConvictNoPart) {
+  ServingFixture fixture;
+  fixture.Start();
+  constexpr int kWorkers = 16;
+  const auto list_workers = [&fixture] {
+    for (int i = 0; i < kWorkers; ++i)
+      fixture.Handle(WorkerListed{
+          .entry = EngineWorker("w" + std::to_string(10 + i), {"m1"})});
+  };
+  list_workers();
+  for (RequestId id = 1; id <= 6; ++id) {
+    ServingRequest request{.id = id,
+                           .trace_id = "t" + std::to_string(id),
+                           .method = "POST",
+                           .target = "/review/" + std::to_string(id),
+                           .host = "h.example",
+                           .key_sha256 = "key",
+                           .model = "m1",
+                           .prompt_tokens = 100,
+                           .max_tokens = 50,
+                           .prompt = {{.id = 5}, {.id = 1'000 + id}}};
+    fixture.Handle(RequestArrived{
+        .request = std::make_shared<const ServingRequest>(request)});
+    for (const SendAttempt& sent : fixture.TakeEffects<SendAttempt>())
+      fixture.Handle(AttemptFailed{.attempt = sent.attempt,
+                                   .failure = AttemptFailure::kReset});
+    // The entries show that the workers were not restarted.
+    list_workers();
+    fixture.Advance(milliseconds(500));
+  }
+  EXPECT_EQ(fixture.router().requests().metrics().parts_convicted, 0U);
+}
+
 // With many routers, all of them would send to all others at each start.
 TEST(PromptPartCrashes, ConvictionsGoOnlyToTheRouterThatStarted) {
   ServingFixture fixture;
--- a/source/unit_tests/core/serving/prompt_part_suspects_test.cc
+++ b/source/unit_tests/core/serving/prompt_part_suspects_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "common/random.h"
 #include "core/serving/prompt_part_suspects.h"
 
 namespace boragepick {
@@ -173,6 +174,44 @@
   EXPECT_TRUE(IsRefused({2}));
 }
 
+// Requests with the part come in bursts, and each one crashes a worker.
+TEST_F(PromptPartSuspectsTest, ConvictsAPartWhoseCrashesComeInBursts) {
+  for (int burst = 0; burst < 3; ++burst) {
+    now += seconds(4);
+    for (int i = 0; i < 3; ++i)
+      Crash({{2}}, milliseconds(20));
+  }
+  EXPECT_TRUE(IsRefused({2}));
+}
+
+// Two parts came together in all crashes; one of them is sound, and its
+// requests arrive at any of the routers of a large fleet.
+TEST_F(PromptPartSuspectsTest, ManyRoutersTellPartsApartSoon) {
+  constexpr std::size_t kRouters = 1'100;
+  // Twice the operators' contact time.
+  constexpr Duration kLimit = seconds(6);
+  routers.clear();
+  for (std::size_t i = 0; i < kRouters; ++i)
+    routers.push_back("r" + std::to_string(i));
+  int late = 0;
+  constexpr std::uint64_t kSeeds = 20;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    suspects = PromptPartSuspects();
+    for (int i = 0; i < 5; ++i)
+      Crash({{1, 2}});
+    Random random(seed);
+    const TimePoint start = now;
+    for (RequestId request = 0; now < start + seconds(60); ++request) {
+      now += milliseconds(10);
+      self = routers[random.Below(kRouters)];
+      if (!IsRefused({1, 10'000 + request}, request))
+        break;
+    }
+    late += now - start > kLimit ? 1 : 0;
+  }
+  EXPECT_EQ(late, 0) << "of " << kSeeds;
+}
+
 TEST_F(PromptPartSuspectsTest, OneRouterProbesAndAFailedProbeDelaysTheNext) {
   routers = {"r1", "r2", "r3"};
   for (int i = 0; i < 4; ++i)
--- a/source/unit_tests/core/serving/serving_silence_test.cc
+++ b/source/unit_tests/core/serving/serving_silence_test.cc
@@ -57,6 +57,26 @@
   RequestId m_request = 0;
 };
 
+// The worker pauses for two seconds; the only other one is full.
+TEST_F(ServingSilence, AStreamGoesOnAfterAPauseIfTheOtherWorkerIsFull) {
+  ServingFixture fixture{OptionsWithRetries(50)};
+  fixture.Start();
+  const SendAttempt begun = BeginStream(fixture);
+  const auto reject_others = [&fixture](Duration duration) {
+    for (Duration waited{}; waited < duration; waited += milliseconds(50)) {
+      fixture.Advance(milliseconds(50));
+      for (const SendAttempt& sent : fixture.TakeEffects<SendAttempt>())
+        Reject(fixture, sent.attempt);
+    }
+  };
+  reject_others(seconds(2));
+  fixture.RespondEvent(begun.attempt, 2);
+  fixture.Handle(AttemptCompleted{.attempt = begun.attempt});
+  reject_others(seconds(3));
+  EXPECT_TRUE(fixture.TakeEffects<AbortResponse>().empty());
+  EXPECT_EQ(fixture.TakeEffects<EndResponse>().size(), 1U);
+}
+
 TEST_F(ServingSilence, KeepsAnAttemptThatPausesForASecond) {
   ServingFixture fixture(OptionsWithRetries(50));
   fixture.Start();
