--- a/source/unit_tests/core/serving/prompt_part_crashes_test.cc
+++ b/source/unit_tests/core/serving/prompt_part_crashes_test.cc
@@ -264,7 +264,7 @@
   ServingFixture fixture;
   fixture.Start();
   const auto add_router = [&fixture](const std::string& vm, int number) {
-    const std::string endpoint = "10.1.1." + std::to_string(number) + ":7";
+    std::string endpoint = "10.1.1." + std::to_string(number) + ":7";
     fixture.Handle(RouterRecordReceived{.record = {.vm = vm,
                                                    .data_centre = "a",
                                                    .endpoint = endpoint,
