Accept any number as a limit that the platform fills in

A deployment was down for a fraction in a figure.

Change: the four limits that the templates fill in from the platform's bounds are LimitSettings: fractions are rounded down, numbers outside the range are replaced by the nearest one in it, an empty value stands for the default, all of it logged at start and reload (E0106). Text that is no number is still an error, and the settings that only operators write stay strict.

--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -51,6 +51,9 @@
        "applied and those that need a restart."},
       {LogEvent::kReloadRejected, kWarning, kDaemon, "reload_rejected",
        "The settings file is invalid; the current settings remain in effect."},
+      {LogEvent::kLimitsAdjusted, kWarning, kDaemon, "limits_adjusted",
+       "Limits in the settings file were rounded down, moved into their range, "
+       "or empty; the field lists the values given and used."},
       {LogEvent::kRequestRefused, kInfo, kRouting, "request_refused",
        "A request was refused; the fields code and ran give the reason and "
        "whether it ran."},
--- a/source/common/log_event.h
+++ b/source/common/log_event.h
@@ -48,6 +48,7 @@
   kLogDropped = 103,
   kReloaded = 104,
   kReloadRejected = 105,
+  kLimitsAdjusted = 106,
   kRequestRefused = 200,
   kRequestRouted = 201,
   kRequestRetried = 202,
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -95,6 +95,11 @@
          {"http", m_settings.http_endpoint},
          {"peers", m_settings.peer_endpoint},
          {"store", m_settings.store_endpoint}});
+    LogAdjusted(m_settings);
+  }
+  void LogAdjusted(const ServingSettings& settings) {
+    if (!settings.adjusted.empty())
+      Log(LogEvent::kLimitsAdjusted, {{"limits", settings.adjusted}});
   }
   // Reads the settings file again and applies the settings that can change in a
   // running process.
@@ -107,6 +112,7 @@
       Log(LogEvent::kReloaded, {{"file", m_settings.file},
                                 {"applied", changes.applied},
                                 {"need_restart", changes.need_restart}});
+      LogAdjusted(next);
     } catch (const Error& error) {
       Log(LogEvent::kReloadRejected, {{"detail", error.what()}});
     }
--- a/source/frontends/serving/serving_settings.cc
+++ b/source/frontends/serving/serving_settings.cc
@@ -33,12 +33,12 @@
               static_cast<std::uint16_t>(reader.ReadNumber(kControllerPort)),
           .store_endpoint = reader.ReadText(kStoreEndpoint),
           .engine_endpoint = reader.ReadText(kEngineEndpoint),
-          .key_revocation_ms = reader.ReadNumber(kKeyRevocationMs),
+          .key_revocation_ms = reader.ReadLimit(kKeyRevocationMs),
           .retry_percent = reader.ReadNumber(kRetryPercent),
-          .retry_reserve = reader.ReadNumber(kRetryReserve),
-          .quota_slack = reader.ReadNumber(kQuotaSlack),
+          .retry_reserve = reader.ReadLimit(kRetryReserve),
+          .quota_slack = reader.ReadLimit(kQuotaSlack),
           .weight_store_loads = reader.ReadNumber(kWeightStoreLoads),
-          .grace_s = reader.ReadNumber(kGraceS),
+          .grace_s = reader.ReadLimit(kGraceS),
           .log_decisions = reader.ReadFlag(kLogDecisions)};
 }
 
@@ -94,6 +94,15 @@
                kControllerPort.key, "a port from 1 to 65535");
 }
 
+std::string FormatAdjusted(const std::vector<AdjustedSetting>& adjusted) {
+  std::string list;
+  for (const AdjustedSetting& setting : adjusted) {
+    list += (list.empty() ? "" : ", ") + setting.name + ": '" + setting.given +
+            "' used as " + std::to_string(setting.used);
+  }
+  return list;
+}
+
 }  // namespace
 
 ServingSettings ParseServingSettings(const std::string& text,
@@ -103,6 +112,7 @@
   reader.CheckUnknown();
   CheckEndpoints(reader, values);
   reader.ThrowIfInvalid();
+  values.adjusted = FormatAdjusted(reader.adjusted());
   return values;
 }
 
--- a/source/frontends/serving/serving_settings.h
+++ b/source/frontends/serving/serving_settings.h
@@ -44,7 +44,7 @@
     "ip:port of the platform's key-value service"};
 inline constexpr TextSetting kEngineEndpoint{
     "engine", "endpoint", "", false, "ip:port of the engine (controller)"};
-inline constexpr NumberSetting kKeyRevocationMs{
+inline constexpr LimitSetting kKeyRevocationMs{
     "limits",  "key_revocation_ms",
     5'000,     100,
     3'600'000, "a withdrawn key stops working within this time"};
@@ -52,11 +52,11 @@
     "limits", "retry_percent",
     20,       0,
     100,      "retries of the whole fleet, as a percentage of first attempts"};
-inline constexpr NumberSetting kRetryReserve{
+inline constexpr LimitSetting kRetryReserve{
     "limits",  "retry_reserve",
     50,        0,
     1'000'000, "retries of the whole fleet beyond retry_percent, in a window"};
-inline constexpr NumberSetting kQuotaSlack{
+inline constexpr LimitSetting kQuotaSlack{
     "limits",
     "quota_slack_tokens",
     0,
@@ -71,7 +71,7 @@
     10'000,
     "concurrent loads that the weight store serves at full speed, for "
     "the whole fleet; 0: determined from load times (gateway)"};
-inline constexpr NumberSetting kGraceS{
+inline constexpr LimitSetting kGraceS{
     "limits", "grace_s", 8,
     1,        3600,      "time from SIGTERM until the process is killed"};
 inline constexpr FlagSetting kLogDecisions{
@@ -100,6 +100,9 @@
   std::int64_t weight_store_loads = 0;
   std::int64_t grace_s = 0;
   bool log_decisions = true;
+  // The limits whose values in the file could not be used as they are, as
+  // comma-separated "section.key: 'given' used as 1".
+  std::string adjusted;
 };
 
 // Throws Error at Step::kSettings with all errors found, one per line.
--- a/source/frontends/settings.h
+++ b/source/frontends/settings.h
@@ -32,6 +32,20 @@
   std::string_view help;
 };
 
+// A limit that the platform fills in, with its range, both limits included. Any
+// number is accepted, because a process that doesn't start serves nobody:
+// fractions are rounded down, since the lower limit is the safe one, and a
+// number outside the range is replaced by the nearest one in it. An empty value
+// stands for the default.
+struct LimitSetting {
+  std::string_view section;
+  std::string_view key;
+  std::int64_t default_value = 0;
+  std::int64_t min_value = 0;
+  std::int64_t max_value = 0;
+  std::string_view help;
+};
+
 using TextSetting = Setting<std::string_view>;
 using FlagSetting = Setting<bool>;
 
--- a/source/frontends/settings_reader.h
+++ b/source/frontends/settings_reader.h
@@ -4,8 +4,11 @@
 
 #include <glib.h>
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -53,6 +56,19 @@
           std::to_string(setting.default_value), std::string(setting.help)};
 }
 
+inline DeclaredSetting ToDeclaredSetting(const LimitSetting& setting) {
+  return {std::string(setting.section), std::string(setting.key),
+          std::to_string(setting.default_value), std::string(setting.help)};
+}
+
+// A limit that is used with another value than the file has.
+struct AdjustedSetting {
+  // "section.key".
+  std::string name;
+  std::string given;
+  std::int64_t used = 0;
+};
+
 // Reads one file and collects its errors. Each setting that is read counts as
 // declared.
 class SettingsReader {
@@ -114,6 +130,36 @@
     return number;
   }
 
+  std::int64_t ReadLimit(const LimitSetting& setting) {
+    Declare(ToDeclaredSetting(setting));
+    const std::optional<std::string> value =
+        FindValue(setting.section, setting.key);
+    if (!value)
+      return setting.default_value;
+    if (value->empty())
+      return Adjust(setting, *value, setting.default_value);
+    double number = 0;
+    const char* end = value->data() + value->size();
+    const auto [stop, error] = std::from_chars(value->data(), end, number);
+    // A number beyond the range of `double` is either huge or nearly zero.
+    const bool out_of_range = error == std::errc::result_out_of_range;
+    const bool valid = stop == end && (error == std::errc{} || out_of_range) &&
+                       !std::isnan(number);
+    if (!valid) {
+      AddError(setting.section, setting.key,
+               "is '" + *value + "'; expected a number");
+      return setting.default_value;
+    }
+    if (out_of_range)
+      number = OutOfRangeValue(*value);
+    // Both limits of a range are exact as `double`.
+    const double used =
+        std::clamp(std::floor(number), static_cast<double>(setting.min_value),
+                   static_cast<double>(setting.max_value));
+    const auto limit = static_cast<std::int64_t>(used);
+    return used == number ? limit : Adjust(setting, *value, limit);
+  }
+
   void Check(bool valid,
              std::string_view section,
              std::string_view key,
@@ -137,8 +183,28 @@
   }
 
   const std::vector<DeclaredSetting>& declared() const { return m_declared; }
+  const std::vector<AdjustedSetting>& adjusted() const { return m_adjusted; }
 
  private:
+  // Returns the value of a number that from_chars() could not represent.
+  static double OutOfRangeValue(const std::string& text) {
+    const double magnitude = text.find("e-") != std::string::npos ||
+                                     text.find("E-") != std::string::npos
+                                 ? 0
+                                 : std::numeric_limits<double>::infinity();
+    return text.starts_with('-') ? -magnitude : magnitude;
+  }
+
+  std::int64_t Adjust(const LimitSetting& setting,
+                      const std::string& given,
+                      std::int64_t used) {
+    m_adjusted.push_back(
+        {.name = std::string(setting.section) + "." + std::string(setting.key),
+         .given = given,
+         .used = used});
+    return used;
+  }
+
   void Declare(DeclaredSetting declared) {
     m_known[declared.section].insert(declared.key);
     m_declared.push_back(std::move(declared));
@@ -223,6 +289,7 @@
   KeyFile m_key_file;
   std::map<std::string, std::set<std::string>> m_known;
   std::vector<DeclaredSetting> m_declared;
+  std::vector<AdjustedSetting> m_adjusted;
   std::string m_errors;
 };
 
--- a/source/unit_tests/frontends/serving_settings_test.cc
+++ b/source/unit_tests/frontends/serving_settings_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 #include "common/error.h"
 
@@ -33,6 +34,66 @@
   }
 }
 
+// The platform fills in the limits, and a process that rejects one doesn't
+// start.
+TEST(ServingSettings, LimitsAcceptAnyNumber) {
+  struct Case {
+    std::string given;
+    std::int64_t revocation_ms;
+    std::int64_t reserve;
+    std::int64_t slack;
+    std::int64_t grace_s;
+  };
+  const std::vector<Case> cases{
+      {"36.1764705882353", 100, 36, 36, 36},
+      {"36", 100, 36, 36, 36},
+      {"0", 100, 0, 0, 1},
+      {"0.5", 100, 0, 0, 1},
+      {"-1", 100, 0, 0, 1},
+      {"7.2e4", 72'000, 72'000, 72'000, 3'600},
+      {"1E+3", 1'000, 1'000, 1'000, 1'000},
+      {"1e300", 3'600'000, 1'000'000, 1'000'000'000, 3'600},
+      {"1e999", 3'600'000, 1'000'000, 1'000'000'000, 3'600},
+      {"1e-999", 100, 0, 0, 1},
+      {"99999999999999999999", 3'600'000, 1'000'000, 1'000'000'000, 3'600},
+      // The platform has no such figure.
+      {"", 5'000, 50, 0, 8},
+  };
+  for (const Case& example : cases) {
+    const std::string& given = example.given;
+    const ServingSettings settings = ParseServingSettings(
+        GatewayFile("[limits]\nkey_revocation_ms = " + given +
+                    "\nretry_reserve = " + given + "\nquota_slack_tokens = " +
+                    given + "\ngrace_s = " + given + "\n"),
+        "g.ini");
+    EXPECT_EQ(settings.key_revocation_ms, example.revocation_ms) << given;
+    EXPECT_EQ(settings.retry_reserve, example.reserve) << given;
+    EXPECT_EQ(settings.quota_slack, example.slack) << given;
+    EXPECT_EQ(settings.grace_s, example.grace_s) << given;
+  }
+}
+
+TEST(ServingSettings, AdjustedLimitsAreListed) {
+  const auto adjusted = [](const std::string& more) {
+    return ParseServingSettings(GatewayFile("[limits]\n" + more), "g.ini")
+        .adjusted;
+  };
+  EXPECT_EQ(adjusted("retry_reserve = 36\ngrace_s = 8.0\n"), "");
+  EXPECT_EQ(adjusted("retry_reserve = 36.2\ngrace_s = 0\n"),
+            "limits.retry_reserve: '36.2' used as 36, "
+            "limits.grace_s: '0' used as 1");
+}
+
+TEST(ServingSettings, LimitsRejectWhatIsNoNumber) {
+  for (const std::string given : {"never", "nan", "8s", "1,5", "--8"}) {
+    EXPECT_THROW(
+        ParseServingSettings(GatewayFile("[limits]\ngrace_s = " + given + "\n"),
+                             "g.ini"),
+        Error)
+        << given;
+  }
+}
+
 TEST(ServingSettings, WeightStoreLoadsDefaultToAutomatic) {
   const auto parse = [](const std::string& more) {
     return ParseServingSettings(GatewayFile(more), "g.ini").weight_store_loads;
