Convict parts whose crashes come in bursts, and tell parts apart in large fleets

Change: three bursts or more with at least twice as many crashes count as one crash more; sound parts are cleared by the answers between bursts. The routers that may send a comparison grow fourfold with each turn, and the first to send one tells the others (CrashNotice.probed), which then keep silent for the rest of the turn.

--- a/source/core/scheduling/quarantine.h
+++ b/source/core/scheduling/quarantine.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,6 +43,9 @@
   std::vector<PromptPartId> parts;
   // Time since the crash, or since the beginning of the answer.
   Duration age = Duration::zero();
+  // Set alone: the sender has sent a request that probes this convicted part,
+  // so that the others don't send one too.
+  std::optional<PromptPartId> probed = std::nullopt;
 };
 
 class Quarantine {
--- a/source/core/serving/crash_suspects.cc
+++ b/source/core/serving/crash_suspects.cc
@@ -22,8 +22,10 @@
 // of the same request has another id.
 Fingerprint FingerprintOf(const Exchange& exchange) {
   const ServingRequest& request = *exchange.request;
-  return StableHash(request.body,
-                    StableHash(request.target, StableHash(exchange.team)));
+  if (!exchange.fingerprint)
+    exchange.fingerprint = StableHash(
+        request.body, StableHash(request.target, StableHash(exchange.team)));
+  return *exchange.fingerprint;
 }
 
 // Returns the parts that the prompt may share with other requests: all but the
@@ -100,6 +102,8 @@
 }
 
 void CrashSuspects::ApplyNotice(TimePoint now, const CrashNotice& notice) {
+  if (notice.probed)
+    return m_parts.RecordClaim(now, *notice.probed);
   const TimePoint at =
       now - std::clamp(notice.age, Duration::zero(), kMaxNoticeAge);
   if (notice.cleared) {
--- a/source/core/serving/prompt_part_suspects.cc
+++ b/source/core/serving/prompt_part_suspects.cc
@@ -37,6 +37,27 @@
   return count;
 }
 
+// Returns the number of separate crashes, as evidence against a part. Bursts of
+// crashes that keep breaking runs with the part count as one more: answers to
+// other requests with a sound part would have cleared it between them.
+std::size_t WeighCrashes(std::vector<TimePoint> times) {
+  const std::size_t crashes = times.size();
+  const std::size_t separate = CountSeparate(std::move(times));
+  const bool are_bursts =
+      separate >= PromptPartSuspects::kMinBursts && crashes >= 2 * separate;
+  return are_bursts ? separate + 1 : separate;
+}
+
+// The number of routers that may send a request that tells parts apart, in the
+// given turn. Only a few routers may have such a request.
+std::size_t ComparingRouters(std::size_t turn, std::size_t routers) {
+  constexpr std::size_t kGrowth = 4;
+  std::size_t count = 1;
+  for (std::size_t i = 0; i < turn && count < routers; ++i)
+    count *= kGrowth;
+  return std::min(count, routers);
+}
+
 }  // namespace
 
 bool PromptPartSuspects::RecordBrokenRun(TimePoint at,
@@ -166,7 +187,7 @@
 std::set<PromptPartId> PromptPartSuspects::FindMostSuspected() const {
   std::map<PromptPartId, std::size_t> counts;
   for (auto& [part, times] : UnexplainedCrashTimes(std::nullopt))
-    counts[part] = CountSeparate(std::move(times));
+    counts[part] = WeighCrashes(std::move(times));
   if (counts.empty())
     return {};
   const auto [most, most_count] = *std::ranges::max_element(
@@ -276,16 +297,35 @@
     return false;
   const PromptPartId part = *conviction.parts.begin();
   const auto order = RendezvousOrder(std::to_string(part), group.routers);
-  if (order[turn % order.size()] != group.self)
+  const std::size_t allowed =
+      tells_apart ? ComparingRouters(turn, order.size()) : 1;
+  const auto self = std::ranges::find(order, group.self);
+  const auto rank = static_cast<std::size_t>(self - order.begin());
+  // Another router is the first in each turn.
+  const bool is_allowed =
+      self != order.end() &&
+      (rank + order.size() - turn % order.size()) % order.size() < allowed;
+  if (!is_allowed)
     return false;
   Probe& probe = m_probes[part];
   if (probe.turn == turn_start)
     return probe.request == request;
+  if (now < probe.claimed_until)
+    return false;
   probe = {.turn = turn_start, .request = request};
   m_new_probe = part;
   return true;
 }
 
+void PromptPartSuspects::RecordClaim(TimePoint now, PromptPartId part) {
+  const bool is_convicted =
+      std::ranges::any_of(m_convictions, [part](const Conviction& conviction) {
+        return *conviction.parts.begin() == part;
+      });
+  if (is_convicted)
+    m_probes[part].claimed_until = now + kComparisonTurn / 2;
+}
+
 std::vector<PromptPartId> PromptPartSuspects::TakeNewConvictions() {
   return std::exchange(m_new_convictions, {});
 }
--- a/source/core/serving/prompt_part_suspects.h
+++ b/source/core/serving/prompt_part_suspects.h
@@ -35,6 +35,8 @@
   // of the requests, such as a power failure, and count as one crash.
   static constexpr Duration kCommonCauseWindow = std::chrono::milliseconds(100);
   static constexpr std::size_t kCrashesToConvict = 4;
+  // Bursts of crashes that convict a part although they are fewer.
+  static constexpr std::size_t kMinBursts = 3;
   // An answer that goes on for this long has not crashed its worker.
   static constexpr Duration kSettleTime = std::chrono::milliseconds(100);
   static constexpr Duration kEvidenceLifetime = std::chrono::minutes(10);
@@ -71,6 +73,9 @@
                                             std::span<const PromptPartId> parts,
                                             const ProbeGroup& group);
 
+  // Another router has sent a request that probes the part.
+  void RecordClaim(TimePoint now, PromptPartId part);
+
   // Returns the parts that were convicted since the last call.
   std::vector<PromptPartId> TakeNewConvictions();
   // Returns the part for which a probe was allowed since the last call.
@@ -108,6 +113,8 @@
   struct Probe {
     TimePoint turn;
     RequestId request = 0;
+    // Until when another router's probe keeps this one from sending its own.
+    TimePoint claimed_until = TimePoint{};
   };
 
   using CrashTimes = std::map<PromptPartId, std::vector<TimePoint>>;
--- a/source/core/serving/request_crashes.cc
+++ b/source/core/serving/request_crashes.cc
@@ -162,6 +162,7 @@
     m_state.Log(LogEvent::kPartProbed,
                 {{"part", PromptPartName(*probed)},
                  {"request", exchange.request->trace_id}});
+    m_state.fleet.Broadcast(CrashNotice{.probed = *probed});
   }
   return part;
 }
--- a/source/unit_tests/core/serving/prompt_part_suspects_test.cc
+++ b/source/unit_tests/core/serving/prompt_part_suspects_test.cc
@@ -212,6 +212,33 @@
   EXPECT_EQ(late, 0) << "of " << kSeeds;
 }
 
+// Each claim of another router keeps this one silent for the rest of the turn.
+TEST_F(PromptPartSuspectsTest, OtherRoutersKeepToAClaim) {
+  for (int i = 0; i < 5; ++i)
+    Crash({{1, 2}});
+  suspects.TakeNewConvictions();
+  now += PromptPartSuspects::kComparisonDelay;
+  suspects.RecordClaim(now, 1);
+  EXPECT_TRUE(IsRefused({1, 100}, 1));
+  now += PromptPartSuspects::kComparisonTurn;
+  EXPECT_FALSE(IsRefused({1, 101}, 2));
+  EXPECT_EQ(suspects.TakeNewProbe(), 1U);
+  // Only this request in this turn.
+  EXPECT_TRUE(IsRefused({1, 102}, 3));
+}
+
+// Three power failures while many run requests with a sound part: requests
+// that were answered in between clear it.
+TEST_F(PromptPartSuspectsTest, AnswersBetweenBurstsClearAPart) {
+  for (int burst = 0; burst < 3; ++burst) {
+    now += seconds(4);
+    for (int i = 0; i < 5; ++i)
+      Crash({{2}}, milliseconds(20));
+    suspects.RecordAnswer(now + milliseconds(1), std::vector<PromptPartId>{2});
+  }
+  EXPECT_FALSE(IsRefused({2}));
+}
+
 TEST_F(PromptPartSuspectsTest, OneRouterProbesAndAFailedProbeDelaysTheNext) {
   routers = {"r1", "r2", "r3"};
   for (int i = 0; i < 4; ++i)
--- a/source/wire/peer_codec.cc
+++ b/source/wire/peer_codec.cc
@@ -322,14 +322,18 @@
   out.set_cleared(message.cleared);
   out.mutable_parts()->Assign(message.parts.begin(), message.parts.end());
   out.set_age_us(message.age.count());
+  if (message.probed)
+    out.set_probed(*message.probed);
 }
 
 CrashNotice DecodeBody(wire::CrashNotice& in) {
-  return {.fingerprint = in.fingerprint(),
-          .crash = in.crash(),
-          .cleared = in.cleared(),
-          .parts = {in.parts().begin(), in.parts().end()},
-          .age = Duration(in.age_us())};
+  return {
+      .fingerprint = in.fingerprint(),
+      .crash = in.crash(),
+      .cleared = in.cleared(),
+      .parts = {in.parts().begin(), in.parts().end()},
+      .age = Duration(in.age_us()),
+      .probed = in.has_probed() ? std::optional(in.probed()) : std::nullopt};
 }
 
 void EncodeBody(const SlotRequest& message, wire::Envelope& envelope) {
