Leave departing and pausing workers alone, keep silent runs until replaced

A 503 with Retry-After pauses the worker for this router until then (an hour at most, a restart ends it). If all workers of a service pause beyond the request's objective, it is rejected at once with the earliest end, spread over one pause more.

After the notice only requests whose deadline lies before the end are accepted, others are answered 503, not run; and no worker is given more time than the process has left.

The hash of a request's body is taken once instead of at each dispatch.

--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -166,6 +166,8 @@
        "Calls to the platform succeed again."},
       {LogEvent::kWorkerSuspected, kWarning, kRouting, "worker_suspected",
        "A worker failed a request and is avoided during its backoff."},
+      {LogEvent::kWorkerPaused, kInfo, kRouting, "worker_paused",
+       "A worker asked for no requests from this process for a while."},
       {LogEvent::kPeerFrameRejected, kWarning, kPeers, "peer_frame_rejected",
        "A frame on the peer port could not be decoded and was dropped."},
       {LogEvent::kUpstreamSilent, kWarning, kPeers, "upstream_silent",
--- a/source/common/log_event.h
+++ b/source/common/log_event.h
@@ -93,6 +93,7 @@
   kKeysCurrent = 609,
   kPlatformRegained = 610,
   kWorkerSuspected = 611,
+  kWorkerPaused = 612,
   kPeerFrameRejected = 700,
   kUpstreamSilent = 701,
 };
--- a/source/core/serving/exchange.h
+++ b/source/core/serving/exchange.h
@@ -60,6 +60,8 @@
 struct Attempt {
   AttemptNumber number = 0;
   std::string worker;
+  // Start time of the worker process that the attempt was sent to.
+  std::int64_t worker_born = 0;
   TimePoint sent_at;
   // Prompt tokens that the worker probably has to prefill: those that are not
   // in its prefix cache. Part of the worker's load until its first event.
@@ -78,6 +80,8 @@
   TimePoint last_progress;
   // The worker was suspected because of its silence since then.
   bool is_suspected = false;
+  // Other workers were tried while this one was silent.
+  bool was_set_aside = false;
 };
 
 struct Exchange {
@@ -104,6 +108,11 @@
   // Ended attempts that may have run, and all attempts sent.
   std::uint32_t possible_runs = 0;
   std::uint32_t attempts_sent = 0;
+  // A silent attempt whose worker may still respond. It is cancelled when
+  // another worker has accepted the request, or at `replaced_at`, and continues
+  // if no other worker accepts it before.
+  std::optional<Attempt> silent_attempt;
+  TimePoint replaced_at = kNever;
   // The last run was given up because its worker was silent.
   bool last_run_was_silent = false;
   // The next attempt waits until the retry budget allows it.
@@ -112,6 +121,9 @@
   std::set<std::string> tried_workers;
   // Workers that this request was sent to.
   std::set<std::string> contacted_workers;
+  // Identifies the request among the callers' repetitions; computed when first
+  // needed, because it is a hash of the whole body.
+  mutable std::optional<Fingerprint> fingerprint;
   // The part of the prompt for which the request is refused.
   std::optional<PromptPartId> convicted_part;
 
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -58,7 +58,7 @@
       exchange.config->FindService(exchange.service);
   std::vector<Worker*> workers = UsableWorkers(now, exchange);
   if (service == nullptr || workers.empty())
-    return Hold(now, exchange, "no_worker");
+    return HoldOrReject(now, exchange);
   if (service->engine && !exchange.weights.empty())
     return DispatchToEngine(now, exchange, *service->engine,
                             std::move(workers));
@@ -85,12 +85,36 @@
 
 std::vector<Worker*> RequestTable::ReadyWorkers(const std::string& service) {
   std::vector<Worker*> workers = m_state.workers.FindByService(service);
-  std::erase_if(workers, [](const Worker* worker) {
-    return worker->entry.state != WorkerState::kReady;
-  });
+  std::erase_if(workers,
+                [](const Worker* worker) { return !worker->IsReady(); });
   return workers;
 }
 
+std::optional<Duration> RequestTable::CommonPause(TimePoint now,
+                                                  const std::string& service) {
+  const std::vector<Worker*> workers = ReadyWorkers(service);
+  if (workers.empty())
+    return std::nullopt;
+  const Worker* first =
+      *std::ranges::min_element(workers, {}, &Worker::paused_until);
+  if (first->paused_until <= now)
+    return std::nullopt;
+  return first->paused_until - now;
+}
+
+void RequestTable::HoldOrReject(TimePoint now, Exchange& exchange) {
+  const std::optional<Duration> pause = CommonPause(now, exchange.service);
+  const bool is_late =
+      pause && now + *pause > exchange.arrived + exchange.route->target_latency;
+  if (!is_late || exchange.head_sent || exchange.possible_runs > 0)
+    return Hold(now, exchange, "no_worker");
+  // Callers that all return when the pause ends would fill the workers again.
+  const auto spread = static_cast<Duration::rep>(
+      m_state.random.Below(static_cast<std::uint64_t>(pause->count())));
+  Refuse(now, exchange, ServingRefusal::kWorkersFull,
+         *pause + Duration(spread));
+}
+
 std::uint32_t RequestTable::ConnectionLimit(const Exchange& exchange) const {
   const ServingService* spec = exchange.config->FindService(exchange.service);
   if (spec == nullptr)
@@ -118,6 +142,8 @@
 void RequestTable::Hold(TimePoint now,
                         Exchange& exchange,
                         const std::string& reason) {
+  if (exchange.silent_attempt)
+    return ContinueSilentAttempt(now, exchange);
   if (exchange.held_since == kNever || exchange.stage != ExchangeStage::kHeld ||
       !m_held.contains(exchange.request->id)) {
     exchange.held_since = now;
@@ -153,7 +179,8 @@
 void RequestTable::SendTo(TimePoint now,
                           Exchange& exchange,
                           const WorkerChoice& choice) {
-  const Duration left = exchange.deadline - now;
+  // A worker must not be at work when a stopping process ends the request.
+  const Duration left = std::min(exchange.deadline, m_end_at) - now;
   if (left < kMinAttemptTime)
     return TimeOut(now, exchange);
   const ServingRequest& request = *exchange.request;
@@ -161,6 +188,7 @@
   Attempt& attempt = exchange.attempt.emplace();
   attempt.number = ++m_last_attempt;
   attempt.worker = worker.entry.id;
+  attempt.worker_born = worker.entry.contents.born;
   attempt.sent_at = now;
   attempt.last_progress = now;
   const std::int64_t cached =
@@ -202,17 +230,26 @@
                            .repeatable = repeatable,
                            .new_connection = !first_contact});
   RecordProgress(now, exchange);
+  if (!exchange.silent_attempt)
+    return;
+  exchange.replaced_at = now + kAcceptanceTime;
+  ScheduleCheck(exchange, exchange.replaced_at);
 }
 
-void RequestTable::CloseAttempt(Exchange& exchange) {
-  if (!exchange.attempt)
-    return;
-  Worker* worker = m_state.workers.Find(exchange.attempt->worker);
+void RequestTable::ReleaseWorker(const Exchange& exchange,
+                                 const Attempt& attempt) {
+  Worker* worker = m_state.workers.Find(attempt.worker);
   if (worker != nullptr) {
-    worker->pending_prefill_tokens -= exchange.attempt->prefill_tokens;
+    worker->pending_prefill_tokens -= attempt.prefill_tokens;
     WorkerTable::RecordRunEnd(*worker, exchange.weights);
   }
-  m_attempts.erase(exchange.attempt->number);
+  m_attempts.erase(attempt.number);
+}
+
+void RequestTable::CloseAttempt(Exchange& exchange) {
+  if (!exchange.attempt)
+    return;
+  ReleaseWorker(exchange, *exchange.attempt);
   exchange.attempt.reset();
 }
 
@@ -226,7 +263,10 @@
 void RequestTable::OnAttemptFailed(TimePoint now,
                                    AttemptNumber number,
                                    AttemptFailure failure) {
-  Exchange* exchange = FindAttempt(number);
+  // A silent attempt is already counted as one that may have run.
+  if (Exchange* silent = FindSilentAttempt(number))
+    return CancelSilentAttempt(*silent);
+  Exchange* exchange = FindAttempt(now, number);
   if (exchange == nullptr)
     return;
   const std::string reason(kAttemptFailureNames.Name(failure));
@@ -240,6 +280,8 @@
   exchange->tried_workers.insert(exchange->attempt->worker);
   CloseAttempt(*exchange);
   const bool is_last = exchange->attempts_sent >= kMaxAttempts;
+  if (is_last && exchange->silent_attempt)
+    return ContinueSilentAttempt(now, *exchange);
   if (is_last && exchange->head_sent && exchange->last_run_was_silent) {
     exchange->awaits_retry_budget = true;
     return Hold(now, *exchange, reason);
@@ -253,6 +295,27 @@
   Dispatch(now, *exchange);
 }
 
+void RequestTable::RecordWorkerStatements(TimePoint now,
+                                          const Exchange& exchange,
+                                          const UpstreamResponseHead& head) {
+  if (head.other_worker)
+    return;
+  const Attempt& attempt = *exchange.attempt;
+  if (head.leaving &&
+      m_state.workers.RecordLeaving(now, attempt.worker, attempt.worker_born))
+    m_state.Log(
+        LogEvent::kWorkerLeaving,
+        {{"worker", attempt.worker}, {"request", exchange.request->trace_id}});
+  if (!head.retry_after)
+    return;
+  m_state.workers.RecordPause(now, attempt.worker, attempt.worker_born,
+                              *head.retry_after);
+  m_state.Log(LogEvent::kWorkerPaused,
+              {{"worker", attempt.worker},
+               {"request", exchange.request->trace_id},
+               {"pause_ms", FormatMilliseconds(*head.retry_after)}});
+}
+
 void RequestTable::RecordRejection(TimePoint now,
                                    Exchange& exchange,
                                    const UpstreamResponseHead& head) {
@@ -276,6 +339,8 @@
   // The rejected attempt is closed already.
   const bool can_retry = exchange.attempts_sent < kMaxAttempts &&
                          RetryBudgetFor(exchange.service).TryConsume();
+  if (!can_retry && exchange.silent_attempt)
+    return ContinueSilentAttempt(now, exchange);
   if (!can_retry && exchange.head_sent && exchange.last_run_was_silent) {
     exchange.awaits_retry_budget = true;
     return Hold(now, exchange, "workers_full");
@@ -298,12 +363,18 @@
 bool RequestTable::CanRetry(TimePoint now,
                             const Exchange& exchange,
                             bool has_run) const {
+  return exchange.attempts_sent < kMaxAttempts &&
+         CanRunAgain(now, exchange, has_run);
+}
+
+bool RequestTable::CanRunAgain(TimePoint now,
+                               const Exchange& exchange,
+                               bool has_run) const {
   // Only a stream can be continued by another run.
   if (exchange.head_sent && !exchange.is_stream)
     return false;
   const std::uint32_t runs = exchange.possible_runs + (has_run ? 1 : 0);
-  return exchange.attempts_sent < kMaxAttempts &&
-         runs < exchange.route->max_attempts &&
+  return runs < exchange.route->max_attempts &&
          exchange.deadline - now > kMinAttemptTime;
 }
 
@@ -317,6 +388,11 @@
                                         const std::string& reason) {
   SuspectWorker(now, exchange, reason);
   GiveUpAttempt(exchange);
+  if (exchange.silent_attempt) {
+    // The failed attempt may have run in addition to the silent one.
+    ++exchange.possible_runs;
+    return ContinueSilentAttempt(now, exchange);
+  }
   exchange.last_run_was_silent = false;
   const bool can_retry = exchange.route->IsRepeatable() &&
                          CanRetry(now, exchange, /*has_run=*/true) &&
--- a/source/core/serving/request_responses.cc
+++ b/source/core/serving/request_responses.cc
@@ -60,10 +60,11 @@
 void RequestTable::OnResponseHead(TimePoint now,
                                   AttemptNumber number,
                                   UpstreamResponseHead head) {
-  Exchange* exchange = FindAttempt(number);
+  Exchange* exchange = FindAttempt(now, number);
   if (exchange == nullptr)
     return;
   Attempt& attempt = *exchange->attempt;
+  RecordWorkerStatements(now, *exchange, head);
   if (head.not_executed) {
     RecordRejection(now, *exchange, head);
     CancelCurrentAttempt(*exchange);
@@ -79,6 +80,7 @@
       (failed && exchange->head_sent))
     return HandleAttemptFailure(now, *exchange,
                                 "status " + std::to_string(head.status));
+  CancelSilentAttempt(*exchange);
   attempt.head = std::move(head);
   // Only its events show that a stream makes progress.
   if (!IsStream(*exchange))
@@ -88,7 +90,7 @@
 void RequestTable::OnResponseBody(TimePoint now,
                                   AttemptNumber number,
                                   std::string_view bytes) {
-  Exchange* exchange = FindAttempt(number);
+  Exchange* exchange = FindAttempt(now, number);
   if (exchange == nullptr || !exchange->attempt->head)
     return;
   RecordAnswerProgress(now, *exchange);
@@ -165,7 +167,7 @@
 void RequestTable::OnAttemptCompleted(TimePoint now,
                                       AttemptNumber number,
                                       bool ended_by_close) {
-  Exchange* exchange = FindAttempt(number);
+  Exchange* exchange = FindAttempt(now, number);
   if (exchange == nullptr || !exchange->attempt->head)
     return;
   const std::string_view truncation =
--- a/source/core/serving/request_silence.cc
+++ b/source/core/serving/request_silence.cc
@@ -101,16 +101,47 @@
     return ScheduleCheck(exchange, silent_at);
   // Without a possible retry, a slow response is better than none, so the
   // attempt continues.
-  if (!CanRetry(now, exchange, /*has_run=*/true))
+  const bool can_retry = attempt.was_set_aside
+                             ? CanRunAgain(now, exchange, /*has_run=*/true)
+                             : CanRetry(now, exchange, /*has_run=*/true);
+  if (!can_retry)
     return ScheduleCheck(exchange, exchange.deadline);
   RetryBudget& budget = RetryBudgetFor(exchange.service);
   if (!budget.Allows(kSilenceRetries) || !HasOtherWorker(now, exchange))
     return ScheduleCheck(exchange, now + kSilenceCheckPeriod);
   budget.TryConsume();
-  GiveUpAttempt(exchange);
-  ++exchange.possible_runs;
-  exchange.last_run_was_silent = true;
+  SetSilentAttemptAside(exchange);
   Retry(now, exchange, "silent");
 }
 
+void RequestTable::SetSilentAttemptAside(Exchange& exchange) {
+  exchange.tried_workers.insert(exchange.attempt->worker);
+  exchange.silent_attempt = std::exchange(exchange.attempt, std::nullopt);
+  exchange.silent_attempt->was_set_aside = true;
+  exchange.last_run_was_silent = true;
+  ++exchange.possible_runs;
+}
+
+void RequestTable::ContinueSilentAttempt(TimePoint now, Exchange& exchange) {
+  // The silent attempt was counted when it was set aside. Another one that was
+  // sent meanwhile may have run.
+  if (!exchange.attempt)
+    --exchange.possible_runs;
+  CancelCurrentAttempt(exchange);
+  exchange.attempt = std::exchange(exchange.silent_attempt, std::nullopt);
+  exchange.replaced_at = kNever;
+  exchange.last_run_was_silent = false;
+  exchange.stage = ExchangeStage::kRunning;
+  ScheduleCheck(exchange, now + kSilenceCheckPeriod);
+}
+
+void RequestTable::CancelSilentAttempt(Exchange& exchange) {
+  exchange.replaced_at = kNever;
+  if (!exchange.silent_attempt)
+    return;
+  m_state.Emit(CancelAttempt{.attempt = exchange.silent_attempt->number});
+  ReleaseWorker(exchange, *exchange.silent_attempt);
+  exchange.silent_attempt.reset();
+}
+
 }  // namespace boragepick
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -51,6 +51,15 @@
           .initial_balance = reserve_share * kRetryReserveFraction / 2};
 }
 
+Duration RetryAfter(ServingRefusal refusal) {
+  if (refusal == ServingRefusal::kOverQuota)
+    return kRetryAfterQuota;
+  if (refusal == ServingRefusal::kWorkersFull)
+    return kRetryAfterWorkersFull;
+  return ServingRefusalInfo(refusal).status == 503 ? kRetryAfterUnavailable
+                                                   : Duration::zero();
+}
+
 }  // namespace
 
 RequestTable::RequestTable(ServingState& state) : m_state(state) {}
@@ -73,11 +82,22 @@
   return found == m_exchanges.end() ? nullptr : &found->second;
 }
 
-Exchange* RequestTable::FindAttempt(AttemptNumber attempt) {
+Exchange* RequestTable::FindAttempt(TimePoint now, AttemptNumber attempt) {
+  if (Exchange* exchange = FindSilentAttempt(attempt))
+    ContinueSilentAttempt(now, *exchange);
   const auto found = m_attempts.find(attempt);
   return found == m_attempts.end() ? nullptr : Find(found->second);
 }
 
+Exchange* RequestTable::FindSilentAttempt(AttemptNumber attempt) {
+  const auto found = m_attempts.find(attempt);
+  Exchange* exchange =
+      found == m_attempts.end() ? nullptr : Find(found->second);
+  const bool is_silent = exchange != nullptr && exchange->silent_attempt &&
+                         exchange->silent_attempt->number == attempt;
+  return is_silent ? exchange : nullptr;
+}
+
 void RequestTable::OnRequest(TimePoint now,
                              std::shared_ptr<const ServingRequest> request) {
   ++m_metrics.requests;
@@ -95,6 +115,8 @@
   if (!exchange.request->model.empty())
     m_load_planner.RecordRequest(now, exchange.request->model,
                                  exchange.request->adapter);
+  if (now >= m_notice_end && exchange.deadline > m_end_at)
+    return Refuse(now, exchange, ServingRefusal::kStopping);
   ScheduleCheck(exchange, exchange.deadline);
   AdmitOrQueue(now, exchange);
 }
@@ -189,6 +211,7 @@
   exchange.config = m_state.config;
   exchange.route = route;
   exchange.team = team == nullptr ? "" : team->name;
+  exchange.fingerprint.reset();
   const int priority =
       (team == nullptr ? 0 : team->priority * kUrgencyPerPriority) +
       route->priority;
@@ -270,11 +293,18 @@
       TimeOut(now, *exchange);
     else if (exchange->stage == ExchangeStage::kHeld)
       Dispatch(now, *exchange);
-    else if (!CancelConvicted(now, *exchange))
-      CheckProgress(now, *exchange);
+    else
+      CheckRunning(now, *exchange);
   }
 }
 
+void RequestTable::CheckRunning(TimePoint now, Exchange& exchange) {
+  if (now >= exchange.replaced_at)
+    CancelSilentAttempt(exchange);
+  if (!CancelConvicted(now, exchange))
+    CheckProgress(now, exchange);
+}
+
 void RequestTable::ScheduleCheck(Exchange& exchange, TimePoint when) {
   const TimePoint check_at = std::min(when, exchange.deadline);
   if (exchange.next_check <= check_at)
@@ -307,6 +337,11 @@
                                      : ServingRefusal::kTimedOut);
 }
 
+void RequestTable::Drain(TimePoint notice_end, TimePoint end) {
+  m_notice_end = notice_end;
+  m_end_at = end;
+}
+
 void RequestTable::EndAll(TimePoint now) {
   std::vector<RequestId> open;
   for (const auto& [id, exchange] : m_exchanges)
@@ -329,16 +364,10 @@
 
 void RequestTable::Refuse(TimePoint now,
                           Exchange& exchange,
-                          ServingRefusal refusal) {
+                          ServingRefusal refusal,
+                          std::optional<Duration> retry_after) {
   ++m_metrics.refused[refusal];
   const ServingRefusalRow& row = ServingRefusalInfo(refusal);
-  Duration retry_after = Duration::zero();
-  if (refusal == ServingRefusal::kOverQuota)
-    retry_after = kRetryAfterQuota;
-  else if (refusal == ServingRefusal::kWorkersFull)
-    retry_after = kRetryAfterWorkersFull;
-  else if (row.status == 503)
-    retry_after = kRetryAfterUnavailable;
   // Only requests that may have run count against the quota.
   if (exchange.possible_runs == 0 && exchange.quota_charged)
     m_state.fleet.Refund(exchange.team, exchange.cost);
@@ -357,11 +386,12 @@
                     ? PromptPartName(*exchange.convicted_part)
                     : ""},
        {"after_ms", FormatMilliseconds(now - exchange.arrived)}});
-  m_state.Emit(RefuseRequest{.id = exchange.request->id,
-                             .status = row.status,
-                             .code = std::string(row.name),
-                             .trace_id = exchange.request->trace_id,
-                             .retry_after = retry_after});
+  m_state.Emit(
+      RefuseRequest{.id = exchange.request->id,
+                    .status = row.status,
+                    .code = std::string(row.name),
+                    .trace_id = exchange.request->trace_id,
+                    .retry_after = retry_after.value_or(RetryAfter(refusal))});
   Remove(exchange);
 }
 
@@ -382,6 +412,7 @@
 
 void RequestTable::Remove(Exchange& exchange) {
   const RequestId id = exchange.request->id;
+  CancelSilentAttempt(exchange);
   CloseAttempt(exchange);
   ReleaseHold(exchange);
   m_checks.erase({exchange.next_check, id});
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -83,6 +83,10 @@
   // Sends the convictions of prompt parts to a router that has started.
   void SendConvictions(TimePoint now, const RouterRecord& router);
 
+  // The process stops: open requests are ended at `end`. From `notice_end` on,
+  // when callers should have gone elsewhere, only requests that are answered by
+  // then are accepted.
+  void Drain(TimePoint notice_end, TimePoint end);
   // Ends all open requests because the process stops.
   void EndAll(TimePoint now);
   // The number of routers that divide the fleet's limits has changed.
@@ -101,6 +105,11 @@
   const ServingMetrics& metrics() const { return m_metrics; }
 
  private:
+  // A worker that accepts no request rejects it within milliseconds. Two
+  // workers must not run one stream for longer than 400 ms, of which a part
+  // passes until the cancelled worker notices.
+  static constexpr Duration kAcceptanceTime = std::chrono::milliseconds(200);
+
   RetryBudget& RetryBudgetFor(const std::string& service);
 
   // Arrival and admission.
@@ -120,6 +129,9 @@
   void RequestWeights(TimePoint now,
                       const Exchange& exchange,
                       const EngineSpec& engine);
+  // Whether the request's weights are loaded nowhere and no controller could
+  // load them.
+  bool CanNeverLoad(TimePoint now, const Exchange& exchange);
   // Requests the load that the planner chooses, if any. `requester` is the
   // trace id of the request that needs it, for the log.
   void RequestLoad(TimePoint now,
@@ -131,6 +143,13 @@
   // service. A worker resets connections beyond its limit for all routers.
   std::uint32_t ConnectionLimit(const Exchange& exchange) const;
   std::vector<Worker*> UsableWorkers(TimePoint now, const Exchange& exchange);
+  // Returns the time until the first worker of the service wants requests
+  // again, if all of them have asked for a pause.
+  std::optional<Duration> CommonPause(TimePoint now,
+                                      const std::string& service);
+  // Holds the request until a worker is usable, or rejects it if it is known
+  // that none will be in time.
+  void HoldOrReject(TimePoint now, Exchange& exchange);
   // Workers that are not draining. Workers in backoff are included, since they
   // can still load weights.
   std::vector<Worker*> ReadyWorkers(const std::string& service);
@@ -142,11 +161,18 @@
   void ReleaseHold(const Exchange& exchange);
   void Hold(TimePoint now, Exchange& exchange, const std::string& reason);
   void SendTo(TimePoint now, Exchange& exchange, const WorkerChoice& choice);
+  // Updates the load of the attempt's worker after the attempt has ended.
+  void ReleaseWorker(const Exchange& exchange, const Attempt& attempt);
   void CloseAttempt(Exchange& exchange);
   void CancelCurrentAttempt(Exchange& exchange);
   WorkerChoiceInput MakeChoiceInput(const Exchange& exchange) const;
 
   // Results of attempts.
+  // Applies what the response says of its worker: that it is leaving, or wants
+  // no requests for a while.
+  void RecordWorkerStatements(TimePoint now,
+                              const Exchange& exchange,
+                              const UpstreamResponseHead& head);
   void ForwardEvents(TimePoint now, Exchange& exchange, std::string_view bytes);
   void RecordRejection(TimePoint now,
                        Exchange& exchange,
@@ -163,8 +189,17 @@
   void GiveUpAttempt(Exchange& exchange);
   void RecordProgress(TimePoint now, Exchange& exchange);
   bool CanRetry(TimePoint now, const Exchange& exchange, bool has_run) const;
+  // The same without the limit of attempts, which rejections use up.
+  bool CanRunAgain(TimePoint now, const Exchange& exchange, bool has_run) const;
   void Retry(TimePoint now, Exchange& exchange, const std::string& reason);
+  void CheckRunning(TimePoint now, Exchange& exchange);
   void CheckProgress(TimePoint now, Exchange& exchange);
+  // Keeps the current attempt, whose worker is silent, while another worker is
+  // tried.
+  void SetSilentAttemptAside(Exchange& exchange);
+  // Makes the silent attempt the current one again.
+  void ContinueSilentAttempt(TimePoint now, Exchange& exchange);
+  void CancelSilentAttempt(Exchange& exchange);
   // Whether a worker other than the current one could run the request.
   bool HasOtherWorker(TimePoint now, const Exchange& exchange);
 
@@ -188,7 +223,11 @@
   bool CancelConvicted(TimePoint now, Exchange& exchange);
 
   // Ends of requests. These destroy the exchange.
-  void Refuse(TimePoint now, Exchange& exchange, ServingRefusal refusal);
+  // `retry_after` replaces the usual time after which the caller may return.
+  void Refuse(TimePoint now,
+              Exchange& exchange,
+              ServingRefusal refusal,
+              std::optional<Duration> retry_after = std::nullopt);
   void CompleteResponse(TimePoint now, Exchange& exchange);
   void Abort(TimePoint now, Exchange& exchange, const std::string& reason);
   void TimeOut(TimePoint now, Exchange& exchange);
@@ -199,7 +238,21 @@
   // How long a request without a response may be held, from its arrival.
   Duration HoldLimit(const Exchange& exchange) const;
   Exchange* Find(RequestId id);
-  Exchange* FindAttempt(AttemptNumber attempt);
+  // Returns the request whose current attempt has this number. A silent attempt
+  // that has received something becomes the current one.
+  Exchange* FindAttempt(TimePoint now, AttemptNumber attempt);
+  Exchange* FindSilentAttempt(AttemptNumber attempt);
+  // Whether this router is the one that requests the model's load in advance.
+  // The routers take turns until the model is there.
+  bool IsTurnToPreload(TimePoint now, const std::string& model);
+  // Requests the loads of the first `limit` of `models` that are this router's
+  // turn.
+  void PreloadModels(TimePoint now,
+                     const EngineSpec& engine,
+                     const std::vector<Worker*>& workers,
+                     std::vector<std::string> models,
+                     std::size_t limit,
+                     std::uint32_t waiting);
 
   ServingState& m_state;
   LeastExpectedDelay m_policy;
@@ -220,6 +273,11 @@
   std::set<std::pair<TimePoint, RequestId>> m_checks;
   AttemptNumber m_last_attempt = 0;
   TimePoint m_next_conviction_share = TimePoint{};
+  // Since when a model is known to need a load in advance.
+  std::map<std::string, TimePoint> m_preload_since;
+  // See Drain().
+  TimePoint m_notice_end = kNever;
+  TimePoint m_end_at = kNever;
 };
 
 }  // namespace boragepick
--- a/source/core/serving/serving_request.h
+++ b/source/core/serving/serving_request.h
@@ -60,6 +60,11 @@
   // The response carries the upstream's signature. A success without one is
   // treated as a failure.
   bool is_signed = false;
+  // The upstream says that it is leaving: it wants no further request.
+  bool leaving = false;
+  // The upstream rejected the request and wants no request from this router for
+  // this long.
+  std::optional<Duration> retry_after;
   // Forwarded unchanged.
   std::vector<HeaderField> headers;
 };
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -191,6 +191,8 @@
   m_draining = true;
   m_drain_started_at = now;
   m_state.fleet.Drain();
+  m_requests.Drain(now + m_state.options.drain_notice,
+                   now + m_state.options.drain_limit);
   m_state.Log(LogEvent::kDraining,
               {{"open", std::to_string(m_requests.open())}});
 }
--- a/source/core/serving/worker_table.cc
+++ b/source/core/serving/worker_table.cc
@@ -16,6 +16,10 @@
 constexpr Duration kInitialBackoff = std::chrono::milliseconds(300);
 constexpr Duration kMaxBackoff = std::chrono::seconds(3);
 constexpr std::uint32_t kMaxBackoffDoublings = 4;
+// A worker that asks for a longer pause is tried again after this time.
+constexpr Duration kMaxPause = std::chrono::hours(1);
+// A worker that is leaving exits within seconds, at times within a minute.
+constexpr Duration kLeavingLifetime = std::chrono::minutes(10);
 
 // Hashes a prompt part together with all parts before it, whose hash is
 // `prefix`.
@@ -100,12 +104,14 @@
     // nothing about the new process.
     worker.prefix_cache.Clear();
     worker.backoff_until = TimePoint{};
+    worker.paused_until = TimePoint{};
     worker.consecutive_failures = 0;
     worker.failure_rate = 0;
     worker.last_engine_update = TimePoint{};
   }
   const bool state_changed = worker.entry.state != entry.state;
   worker.entry = entry;
+  worker.is_leaving = IsLeaving(entry);
   EngineContents listed = entry.contents;
   const bool has_update =
       !is_new && !restarted && worker.last_engine_update != TimePoint{};
@@ -193,6 +199,39 @@
   }
 }
 
+bool WorkerTable::IsLeaving(const WorkerEntry& entry) const {
+  const auto leaving = m_leaving.find(entry.id);
+  return leaving != m_leaving.end() &&
+         leaving->second.born == entry.contents.born;
+}
+
+bool WorkerTable::RecordLeaving(TimePoint now,
+                                const std::string& id,
+                                std::int64_t born) {
+  Worker* worker = Find(id);
+  const bool is_current =
+      worker != nullptr && worker->entry.contents.born == born;
+  if (!is_current || worker->is_leaving)
+    return false;
+  std::erase_if(m_leaving, [now](const auto& entry) {
+    return now - entry.second.said_at > kLeavingLifetime;
+  });
+  m_leaving[id] = {.born = born, .said_at = now};
+  worker->is_leaving = true;
+  return true;
+}
+
+void WorkerTable::RecordPause(TimePoint now,
+                              const std::string& id,
+                              std::int64_t born,
+                              Duration pause) {
+  Worker* worker = Find(id);
+  if (worker == nullptr || worker->entry.contents.born != born)
+    return;
+  worker->paused_until =
+      std::max(worker->paused_until, now + std::min(pause, kMaxPause));
+}
+
 void WorkerTable::RecordSuccess(Worker& worker,
                                 Duration took,
                                 Duration expected) {
--- a/source/core/serving/worker_table.h
+++ b/source/core/serving/worker_table.h
@@ -66,9 +66,17 @@
   // The worker gets no requests before this time.
   TimePoint backoff_until = TimePoint{};
   std::uint32_t consecutive_failures = 0;
-
+  // The worker process has said in a response that it is leaving.
+  bool is_leaving = false;
+  // The worker has asked for no requests from this router before this time.
+  TimePoint paused_until = TimePoint{};
+
+  // Whether the worker is to be given new work at all.
+  bool IsReady() const {
+    return entry.state == WorkerState::kReady && !is_leaving;
+  }
   bool IsUsable(TimePoint now) const {
-    return entry.state == WorkerState::kReady && now >= backoff_until;
+    return IsReady() && now >= backoff_until && now >= paused_until;
   }
 };
 
@@ -100,12 +108,33 @@
   static void RecordRunStart(Worker& worker, const std::string& weights);
   static void RecordRunEnd(Worker& worker, const std::string& weights);
 
+  // Applies what a response says of the worker process that started at `born`:
+  // that it is leaving, or that it wants no request for `pause`. A statement by
+  // an earlier process is ignored. Returns whether the process is known to be
+  // leaving since this call.
+  bool RecordLeaving(TimePoint now, const std::string& id, std::int64_t born);
+  void RecordPause(TimePoint now,
+                   const std::string& id,
+                   std::int64_t born,
+                   Duration pause);
+
   // Update the worker's averages and its backoff after an attempt.
   void RecordSuccess(Worker& worker, Duration took, Duration expected);
   void RecordFailure(TimePoint now, Worker& worker);
 
  private:
+  struct LeavingProcess {
+    std::int64_t born = 0;
+    TimePoint said_at;
+  };
+
+  // Whether the process that the entry describes has said that it is leaving.
+  bool IsLeaving(const WorkerEntry& entry) const;
+
   std::map<std::string, Worker> m_workers;
+  // Processes that have said that they are leaving, by worker id. Kept beyond
+  // their entries, which may expire and come back during an outage of the list.
+  std::map<std::string, LeavingProcess> m_leaving;
 };
 
 // Returns the IP of "ip:port".
