Request preparatory loads by turns, and reject what nobody can load

Cause: every gateway asked for the same first models that had no copy: 368 of 371 load requests in two seconds of two small gateways of the large site. And each half second each gateway compared every model with every worker. In a fleet without controllers, requests for models that are loaded nowhere were held to their deadline.

Change: one router a model, by hash, requests a load in advance; the next one does so too after 4 s. The models without a copy are found from the workers' contents in one pass. If several controllers did not respond and none has sent an update for 5 s, requests for weights that are loaded nowhere are rejected at once; load requests still go out, so that a returning controller is seen.

--- a/source/core/serving/load_planner.cc
+++ b/source/core/serving/load_planner.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
 
 #include "common/hashing.h"
 
@@ -22,6 +25,11 @@
 // A load that takes longer than this multiple of its expected time is requested
 // from another worker.
 constexpr int kLoadTimeoutFactor = 3;
+// Loads are not expected to happen if this many controllers are unresponsive
+// and none has sent an engine update for this long, in which controllers that
+// were all killed have started again.
+constexpr std::size_t kMinUnresponsive = 3;
+constexpr Duration kControllersLostTime = std::chrono::seconds(5);
 // Cost of each load in the worker's queue.
 constexpr Duration kCostOfQueuedLoad = std::chrono::milliseconds(1'200);
 // Cost of unloading a model without requests, and the additional cost if it
@@ -317,7 +325,7 @@
   const auto unresponsive = m_unresponsive_until.find(worker.entry.id);
   if (unresponsive != m_unresponsive_until.end() && now < unresponsive->second)
     return false;
-  if (worker.entry.state != WorkerState::kReady)
+  if (!worker.IsReady())
     return false;
   const bool has_model = worker.contents.Find(target.model) != nullptr;
   if (!target.adapter.empty())
@@ -390,13 +398,17 @@
 std::vector<std::string> LoadPlanner::ModelsWithoutLocalCopy(
     const EngineSpec& engine,
     std::span<Worker* const> workers) {
+  std::unordered_set<std::string_view> found;
+  for (const Worker* worker : workers) {
+    const EngineContents& contents = worker->contents;
+    for (const LoadedModel& loaded : contents.models)
+      found.insert(loaded.name);
+    found.insert(contents.in_memory.begin(), contents.in_memory.end());
+    found.insert(contents.on_disk.begin(), contents.on_disk.end());
+  }
   std::vector<std::string> missing;
-  for (const auto& entry : engine.models) {
-    const std::string& name = entry.first;
-    const bool found = std::ranges::any_of(workers, [&](const Worker* worker) {
-      return HasLocalCopy(worker->contents, name);
-    });
-    if (!found)
+  for (const auto& [name, model] : engine.models) {
+    if (!found.contains(name))
       missing.push_back(name);
   }
   return missing;
@@ -405,23 +417,47 @@
 std::vector<std::string> LoadPlanner::ModelsToPreload(
     const EngineSpec& engine,
     std::span<Worker* const> workers) {
-  std::vector<std::string> names;
-  for (const auto& entry : engine.models) {
-    const std::string& name = entry.first;
-    const EngineModel& model = entry.second;
-    if (CountWorkersWith(workers, name) > 0)
+  std::unordered_set<std::string_view> loaded;
+  // The largest free memory of a worker with a cached copy, by model.
+  std::unordered_map<std::string_view, double> free_mb;
+  for (const Worker* worker : workers) {
+    const EngineContents& contents = worker->contents;
+    for (const LoadedModel& model : contents.models)
+      loaded.insert(model.name);
+    // A queued load would use the memory first.
+    if (worker->queued_loads > 0)
       continue;
-    const bool possible =
-        std::ranges::any_of(workers, [&](const Worker* worker) {
-          return HasFreeMemoryFor(engine, *worker, model) &&
-                 HasLocalCopy(worker->contents, name);
-        });
-    if (possible)
+    const double free = engine.memory_mb - UsedMb(engine, contents);
+    for (const auto* copies : {&contents.in_memory, &contents.on_disk}) {
+      for (const std::string& name : *copies) {
+        double& most = free_mb[name];
+        most = std::max(most, free);
+      }
+    }
+  }
+  std::vector<std::string> names;
+  for (const auto& [name, model] : engine.models) {
+    const auto free = free_mb.find(name);
+    if (!loaded.contains(name) && free != free_mb.end() &&
+        free->second >= model.memory_mb)
       names.push_back(name);
   }
   return names;
 }
 
+bool LoadPlanner::HasControllers(TimePoint now,
+                                 std::span<Worker* const> workers) const {
+  const auto unresponsive = static_cast<std::size_t>(std::ranges::count_if(
+      m_unresponsive_until,
+      [now](const auto& entry) { return now < entry.second; }));
+  if (unresponsive < std::min(kMinUnresponsive, workers.size()))
+    return true;
+  return std::ranges::any_of(workers, [now](const Worker* worker) {
+    return worker->last_engine_update != TimePoint{} &&
+           now - worker->last_engine_update < kControllersLostTime;
+  });
+}
+
 void LoadPlanner::ClearPendingLoad(const std::string& model,
                                    const std::string& adapter) {
   m_pending_loads.erase(WeightsName(model, adapter));
--- a/source/core/serving/load_planner.h
+++ b/source/core/serving/load_planner.h
@@ -69,6 +69,11 @@
       const EngineSpec& engine,
       std::span<Worker* const> workers);
 
+  // Whether any controller can be expected to load something: false if several
+  // did not respond to load requests and none has sent an update for a while,
+  // as in a deployment without controllers.
+  bool HasControllers(TimePoint now, std::span<Worker* const> workers) const;
+
   // Ends the pending load: the weights are loaded, or no request waits for them
   // any more.
   void ClearPendingLoad(const std::string& model, const std::string& adapter);
--- a/source/core/serving/request_loads.cc
+++ b/source/core/serving/request_loads.cc
@@ -2,6 +2,7 @@
 // and for models loaded in advance.
 #include <algorithm>
 
+#include "common/hashing.h"
 #include "core/serving/request_table.h"
 
 namespace boragepick {
@@ -13,6 +14,11 @@
 constexpr std::size_t kMaxStorePreloads = 4;
 // Loads into free memory requested in advance at a time.
 constexpr std::size_t kMaxLocalPreloads = 12;
+// The next router requests the load too if the model is not there after this
+// time, because the first one may be cut off.
+constexpr Duration kPreloadTurn = std::chrono::seconds(4);
+// The turns of a model that still needs a load begin anew after this time.
+constexpr Duration kPreloadExpiry = std::chrono::minutes(10);
 // If the expected delay at all workers that have the model loaded is longer
 // than this, another worker should load it too.
 constexpr Duration kReplicationDelayThreshold = std::chrono::milliseconds(250);
@@ -36,7 +42,10 @@
       ChooseWorker(m_policy, MakeChoiceInput(exchange),
                    std::span<Worker* const>(loaded_workers));
   if (choice.worker == nullptr) {
+    // Requested in any case, since the answer shows that controllers are back.
     RequestWeights(now, exchange, engine);
+    if (CanNeverLoad(now, exchange))
+      return Refuse(now, exchange, ServingRefusal::kModelNotLoaded);
     return Hold(now, exchange, "model_not_loaded");
   }
   if (choice.cost > kReplicationDelayThreshold && request.adapter.empty())
@@ -46,6 +55,18 @@
   SendTo(now, exchange, choice);
 }
 
+bool RequestTable::CanNeverLoad(TimePoint now, const Exchange& exchange) {
+  if (exchange.head_sent || exchange.possible_runs > 0)
+    return false;
+  const ServingRequest& request = *exchange.request;
+  const std::vector<Worker*> workers = ReadyWorkers(exchange.service);
+  const bool is_loaded =
+      std::ranges::any_of(workers, [&request](const Worker* worker) {
+        return worker->contents.Holds(request.model, request.adapter);
+      });
+  return !is_loaded && !m_load_planner.HasControllers(now, workers);
+}
+
 void RequestTable::RequestWeights(TimePoint now,
                                   const Exchange& exchange,
                                   const EngineSpec& engine) {
@@ -104,22 +125,44 @@
       continue;
     const std::vector<Worker*> workers = ReadyWorkers(name);
     const std::span<Worker* const> worker_span(workers);
-    std::vector<std::string> missing =
-        LoadPlanner::ModelsWithoutLocalCopy(*service.engine, worker_span);
-    if (missing.size() > kMaxStorePreloads)
-      missing.resize(kMaxStorePreloads);
     // `waiting` is 1 so that these loads may evict other models.
-    for (const std::string& model : missing)
-      RequestLoad(now, *service.engine, workers, {.model = model, .waiting = 1},
-                  "preparation");
-    std::vector<std::string> loadable =
-        LoadPlanner::ModelsToPreload(*service.engine, worker_span);
-    if (loadable.size() > kMaxLocalPreloads)
-      loadable.resize(kMaxLocalPreloads);
-    for (const std::string& model : loadable)
-      RequestLoad(now, *service.engine, workers, {.model = model},
+    PreloadModels(
+        now, *service.engine, workers,
+        LoadPlanner::ModelsWithoutLocalCopy(*service.engine, worker_span),
+        kMaxStorePreloads, /*waiting=*/1);
+    PreloadModels(now, *service.engine, workers,
+                  LoadPlanner::ModelsToPreload(*service.engine, worker_span),
+                  kMaxLocalPreloads, /*waiting=*/0);
+  }
+  std::erase_if(m_preload_since, [now](const auto& entry) {
+    return now - entry.second > kPreloadExpiry;
+  });
+}
+
+void RequestTable::PreloadModels(TimePoint now,
+                                 const EngineSpec& engine,
+                                 const std::vector<Worker*>& workers,
+                                 std::vector<std::string> models,
+                                 std::size_t limit,
+                                 std::uint32_t waiting) {
+  models.resize(std::min(models.size(), limit));
+  for (const std::string& model : models) {
+    if (IsTurnToPreload(now, model))
+      RequestLoad(now, engine, workers, {.model = model, .waiting = waiting},
                   "preparation");
   }
 }
 
+bool RequestTable::IsTurnToPreload(TimePoint now, const std::string& model) {
+  const std::vector<std::string>& routers = m_state.fleet.LiveRouters();
+  const auto self = std::ranges::find(routers, m_state.options.vm);
+  // Without the list of routers, this one may be the only one.
+  if (self == routers.end())
+    return true;
+  const TimePoint since = m_preload_since.try_emplace(model, now).first->second;
+  const auto turn = static_cast<std::uint64_t>((now - since) / kPreloadTurn);
+  const auto index = static_cast<std::uint64_t>(self - routers.begin());
+  return (StableHash(model) + turn) % routers.size() == index;
+}
+
 }  // namespace boragepick
--- a/source/unit_tests/core/serving/serving_router_test.cc
+++ b/source/unit_tests/core/serving/serving_router_test.cc
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
+#include <set>
 
 #include "unit_tests/core/serving/serving_fixture.h"
 
@@ -263,6 +265,119 @@
   EXPECT_EQ(IpFromAddress(sent[0].address), ip);
 }
 
+// Requests that arrive late in the grace of a planned stop, on connections that
+// are still open: those that may last longer would be cut at its end.
+TEST(ServingRouter, AcceptsLateInAStopOnlyWhatIsAnsweredInTime) {
+  ServingFixture fixture;
+  fixture.Start();
+  fixture.Handle(ServingDrainRequested{});
+  fixture.Advance(milliseconds(2'900));
+  fixture.ReceiveRequest("/review/1", "m1");
+  EXPECT_EQ(fixture.TakeEffects<SendAttempt>().size(), 1U);
+  fixture.Advance(milliseconds(200));
+  const RequestId late = fixture.ReceiveRequest("/review/2", "m1");
+  EXPECT_TRUE(fixture.TakeEffects<SendAttempt>().empty());
+  EXPECT_EQ(RefusalStatus(fixture, late), 503U);
+  fixture.ReceiveRequest("/book/1");
+  EXPECT_EQ(fixture.TakeEffects<SendAttempt>().size(), 1U);
+  fixture.Advance(milliseconds(3'900));
+  const RequestId last = fixture.ReceiveRequest("/book/2");
+  EXPECT_TRUE(fixture.TakeEffects<SendAttempt>().empty());
+  EXPECT_EQ(RefusalStatus(fixture, last), 503U);
+}
+
+// A request that was held since before is not passed on for longer than the
+// process lives.
+TEST(ServingRouter, AStoppingProcessPassesItsEndOnToWorkers) {
+  ServingFixture fixture;
+  fixture.Start();
+  fixture.Handle(ServingDrainRequested{});
+  fixture.Advance(milliseconds(2'000));
+  fixture.ReceiveRequest("/review/1", "m3");
+  fixture.Advance(milliseconds(1'500));
+  fixture.Handle(WorkerListed{.entry = EngineWorker("w3", {"m3"})});
+  const auto sent = fixture.TakeEffects<SendAttempt>();
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_LE(sent[0].time_left, milliseconds(4'000));
+}
+
+// A deployment without controllers: nobody answers the load requests.
+TEST(ServingRouter, RejectsAtOnceWhatNoControllerCanLoad) {
+  ServingFixture fixture;
+  fixture.Start();
+  for (int i = 0; i < 4; ++i) {
+    fixture.ReceiveRequest("/review/1", "m3");
+    fixture.Advance(milliseconds(1'000));
+  }
+  fixture.effects.clear();
+  const RequestId id = fixture.ReceiveRequest("/review/1", "m3");
+  EXPECT_EQ(RefusalStatus(fixture, id), 503U);
+  // What is loaded is served.
+  fixture.ReceiveRequest("/review/1", "m1");
+  EXPECT_EQ(fixture.TakeEffects<SendAttempt>().size(), 1U);
+  // A controller speaks.
+  fixture.Handle(
+      PeerMessageReceived{.from = {.vm = "c", .endpoint = "10.0.0.1:7"},
+                          .message = EngineUpdate{.contents = {.born = 1}}});
+  fixture.effects.clear();
+  fixture.ReceiveRequest("/review/1", "m3");
+  EXPECT_TRUE(fixture.TakeEffects<RefuseRequest>().empty());
+}
+
+// All routers would otherwise request the same loads.
+TEST(ServingRouter, OneRouterRequestsALoadInAdvance) {
+  constexpr int kRouters = 8;
+  std::map<std::string, int> requested;
+  for (int self = 0; self < kRouters; ++self) {
+    ServingFixture fixture({.vm = "r" + std::to_string(self),
+                            .data_centre = "a",
+                            .endpoint = "10.1.0.1:7",
+                            .controller_port = 7});
+    for (int i = 0; i < kRouters; ++i)
+      fixture.Handle(RouterRecordReceived{
+          .record = {.vm = "r" + std::to_string(i),
+                     .data_centre = "a",
+                     .endpoint = "10.1.0." + std::to_string(i) + ":7",
+                     .incarnation = 1}});
+    fixture.Start();
+    fixture.Advance(milliseconds(3'000));
+    std::set<std::string> models;
+    for (const SendToEndpoint& sent : fixture.TakeEffects<SendToEndpoint>()) {
+      if (const auto* load = std::get_if<LoadRequest>(&sent.message))
+        models.insert(load->model);
+    }
+    for (const std::string& model : models)
+      ++requested[model];
+  }
+  // m1 and m2 are loaded.
+  EXPECT_EQ(requested, (std::map<std::string, int>{{"m3", 1}}));
+}
+
+// The router whose turn it is may be cut off from the controllers.
+TEST(ServingRouter, TheNextRouterRequestsALoadThatDoesNotHappen) {
+  int routers_that_requested = 0;
+  for (int self = 0; self < 3; ++self) {
+    ServingFixture fixture({.vm = "r" + std::to_string(self),
+                            .data_centre = "a",
+                            .endpoint = "10.1.0.1:7",
+                            .controller_port = 7});
+    for (int i = 0; i < 3; ++i)
+      fixture.Handle(RouterRecordReceived{
+          .record = {.vm = "r" + std::to_string(i),
+                     .data_centre = "a",
+                     .endpoint = "10.1.0." + std::to_string(i) + ":7",
+                     .incarnation = 1}});
+    fixture.Start();
+    fixture.Advance(std::chrono::seconds(14));
+    const auto sent = fixture.TakeEffects<SendToEndpoint>();
+    routers_that_requested +=
+        std::ranges::any_of(sent, [](const SendToEndpoint& message) {
+          return std::holds_alternative<LoadRequest>(message.message);
+        });
+  }
+  EXPECT_EQ(routers_that_requested, 3);
+}
+
 TEST(ServingRouter, DoesNotRetryAtAWorkerThatLacksTheModel) {
   ServingFixture fixture;
   fixture.Start();
