--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -52,9 +52,15 @@
 // Nothing that a controller needs from the store is more urgent than this.
 inline constexpr Duration kControllerMaxRetryDelay = std::chrono::seconds(2);
 // Changes to worker entries are read in batches: the entries change with every
-// engine order, and controllers report the same changes earlier. Half of the
-// shortest time within which a change must take effect.
-inline constexpr Duration kWorkerBatchDelay = std::chrono::milliseconds(1'000);
+// engine order, and controllers report the same changes earlier. Returns half
+// of the shortest time within which a change must take effect; a withdrawn key
+// must be known to be withdrawn before its time is over.
+inline Duration WorkerBatchDelay(const ServingSettings& settings) {
+  return std::chrono::milliseconds(
+             std::min({settings.config_apply_ms, settings.worker_drain_ms,
+                       settings.key_revocation_ms})) /
+         2;
+}
 inline constexpr Duration kGatewayWatchTimeout =
     std::chrono::milliseconds(1'500);
 
@@ -225,7 +231,7 @@
     // One watch of all keys needs a third of the calls of three watches.
     WatcherOptions all_keys =
         this->MakeWatcherOptions("", kGatewayWatchTimeout);
-    all_keys.batch_delay = kWorkerBatchDelay;
+    all_keys.batch_delay = WorkerBatchDelay(m_settings);
     all_keys.batched_prefix = Protocol::kWorkerPrefix;
     m_store.Watch(std::move(all_keys));
     this->LogStarted();
--- a/source/frontends/serving/serving_settings.h
+++ b/source/frontends/serving/serving_settings.h
@@ -48,6 +48,14 @@
     "limits",  "key_revocation_ms",
     5'000,     100,
     3'600'000, "a withdrawn key stops working within this time"};
+inline constexpr LimitSetting kConfigApplyMs{
+    "limits",  "config_apply_ms",
+    2'000,     100,
+    3'600'000, "a change of the configuration is in force within this time"};
+inline constexpr LimitSetting kWorkerDrainMs{
+    "limits",  "worker_drain_ms",
+    2'000,     100,
+    3'600'000, "a worker that is leaving gets no new requests after this time"};
 inline constexpr NumberSetting kRetryPercent{
     "limits", "retry_percent",
     20,       0,
@@ -94,6 +102,8 @@
   std::string store_endpoint;
   std::string engine_endpoint;
   std::int64_t key_revocation_ms = 0;
+  std::int64_t config_apply_ms = 0;
+  std::int64_t worker_drain_ms = 0;
   std::int64_t retry_percent = 0;
   std::int64_t retry_reserve = 0;
   std::int64_t quota_slack = 0;
