Request quota loans when a request is queued, from several holders at once

Cause: a queued request waited for the next poll (50 ms) before its loan was requested, and each poll asked one of the six holders of a team's page, whose share may hold a sixth of the burst.

Change: queueing requests the missing tokens at once, and a loan request asks each holder for no more than its share can hold and the next ones for the rest. The sum that is asked for is as before.

Tests: ServingFleet.AdmitsALargeRequestWithoutWaitingForPolls (12 routers, 9 tenths of the burst) failed before; the histories of quotas pass unchanged.

--- a/source/core/quota/quota_manager.cc
+++ b/source/core/quota/quota_manager.cc
@@ -111,6 +111,22 @@
   found->second.total_queued_cost = total_cost;
 }
 
+std::vector<OutgoingLoanRequest> QuotaManager::RequestForQueue(
+    TimePoint now,
+    const std::string& team) {
+  std::vector<OutgoingLoanRequest> out;
+  const auto found = m_teams.find(team);
+  if (found == m_teams.end())
+    return out;
+  Team& entry = found->second;
+  const Tokens wanted =
+      std::min<Tokens>(entry.total_queued_cost, entry.spec.burst_tokens);
+  const Tokens held =
+      entry.reserve.Available(now) + entry.reserve.RequestedTokens(now);
+  RequestLoans(now, team, entry, wanted - held, out);
+  return out;
+}
+
 void QuotaManager::Refund(const std::string& team, Tokens unused) {
   const auto found = m_teams.find(team);
   if (found != m_teams.end() && unused > 0)
@@ -199,25 +215,53 @@
     missing -= team.reserve.Available(now) - before;
   }
   ReportClosedLoans(now, name, team, out);
+  if (missing <= 0)
+    return;
+  RequestLoans(now, name, team, missing, out);
+}
+
+void QuotaManager::RequestLoans(TimePoint now,
+                                const std::string& name,
+                                Team& team,
+                                Tokens missing,
+                                std::vector<OutgoingLoanRequest>& out) {
   if (missing <= 0)
     return;
   const std::vector<std::string> lenders = OtherLenders(name, team);
-  for (std::size_t i = 0; i < lenders.size(); ++i) {
-    const std::string& lender =
-        lenders[(team.next_lender + i) % lenders.size()];
+  const std::size_t first = team.next_lender;
+  for (std::size_t i = 0; i < lenders.size() && missing > 0; ++i) {
+    const std::size_t index = (first + i) % lenders.size();
+    const std::string& lender = lenders[index];
     if (team.reserve.HasOpenRequest(now, lender))
       continue;
-    team.next_lender = (team.next_lender + i + 1) % lenders.size();
+    team.next_lender = (index + 1) % lenders.size();
+    const Tokens wanted = std::min(missing, MostToLend(team, lender));
+    if (wanted <= 0)
+      continue;
+    missing -= wanted;
     const LoanRequest request =
-        team.reserve.StartLoanRequest(now, lender, missing);
+        team.reserve.StartLoanRequest(now, lender, wanted);
     out.push_back({.vm = lender,
                    .request = {.team = name,
                                .number = request.number,
                                .wanted = request.wanted}});
-    return;
   }
 }
 
+Tokens QuotaManager::MostToLend(const Team& team,
+                                const std::string& lender) const {
+  const auto page = m_pages.find(team.page);
+  if (page == m_pages.end())
+    return 0;
+  double units = 0;
+  for (const ShareHolder& holder : page->second.holders) {
+    if (holder.process.vm == lender)
+      units += holder.units;
+  }
+  return static_cast<Tokens>(static_cast<double>(team.spec.burst_tokens) *
+                             units / kShareUnits);
+}
+
 std::vector<std::string> QuotaManager::OtherLenders(const std::string& name,
                                                     const Team& team) const {
   std::vector<std::string> lenders;
--- a/source/core/quota/quota_manager.h
+++ b/source/core/quota/quota_manager.h
@@ -57,6 +57,10 @@
   void SetWaiting(const std::string& team,
                   Tokens first_cost,
                   Tokens total_cost);
+  // Returns the loan requests for the team's queue that are not sent yet, so
+  // that a request that has just been queued needn't wait for the next poll.
+  std::vector<OutgoingLoanRequest> RequestForQueue(TimePoint now,
+                                                   const std::string& team);
 
   // Returns the tokens that were deducted for a request but not used by it.
   void Refund(const std::string& team, Tokens unused);
@@ -126,12 +130,22 @@
                               TokenBucket::InitialLevel initial_level);
   std::vector<std::string> OtherLenders(const std::string& name,
                                         const Team& team) const;
+  // The most that the share of a router can lend of the team's burst.
+  Tokens MostToLend(const Team& team, const std::string& lender) const;
   void BorrowFromSelf(TimePoint now, Team& team, Tokens wanted);
   void PollTeam(TimePoint now,
                 const std::string& name,
                 Team& team,
                 std::vector<OutgoingLoanRequest>& out);
   Tokens MissingTokens(TimePoint now, Team& team);
+  // Requests `missing` tokens from lenders without an open request. Each is
+  // asked for no more than its share can hold, so that a large request needs
+  // several.
+  void RequestLoans(TimePoint now,
+                    const std::string& name,
+                    Team& team,
+                    Tokens missing,
+                    std::vector<OutgoingLoanRequest>& out);
   void ReportClosedLoans(TimePoint now,
                          const std::string& name,
                          Team& team,
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -136,6 +136,7 @@
   ScheduleCheck(exchange, now + std::clamp(exchange.route->target_latency / 2,
                                            kMinQuotaWait, kMaxQuotaWait));
   ReportQueuedCost(team);
+  m_state.fleet.RequestForQueue(now, team);
 }
 
 void RequestTable::AdmitQueued(TimePoint now) {
--- a/source/core/serving/serving_fleet.cc
+++ b/source/core/serving/serving_fleet.cc
@@ -194,6 +194,13 @@
     m_quota->SetWaiting(team, first, all);
 }
 
+void ServingFleet::RequestForQueue(TimePoint now, const std::string& team) {
+  if (!m_quota)
+    return;
+  for (OutgoingLoanRequest& outgoing : m_quota->RequestForQueue(now, team))
+    SendToVm(outgoing.vm, std::move(outgoing.request));
+}
+
 void ServingFleet::Tick(TimePoint now) {
   if (!m_quota)
     return;
--- a/source/core/serving/serving_fleet.h
+++ b/source/core/serving/serving_fleet.h
@@ -106,6 +106,9 @@
   // Sets the cost of the first request that waits for tokens, and that of all
   // waiting requests.
   void SetWaiting(const std::string& team, Tokens first, Tokens all);
+  // Requests the loans that the team's queue needs, without waiting for the
+  // next tick.
+  void RequestForQueue(TimePoint now, const std::string& team);
   bool IsLimited(const std::string& team) const;
 
   // Returns the endpoints of the slot coordinator of the weight store and,
--- a/source/unit_tests/core/serving/serving_fleet_test.cc
+++ b/source/unit_tests/core/serving/serving_fleet_test.cc
@@ -66,6 +66,19 @@
     return admitted;
   }
 
+  // Queues a request at the router and delivers messages between routers, but
+  // lets no time pass. Returns whether the request is admitted.
+  bool AdmitWithoutTick(const std::string& vm, std::int64_t cost) {
+    ServingFleet& fleet = m_routers.at(vm);
+    if (fleet.Admit(m_now, "team", cost))
+      return true;
+    fleet.SetWaiting("team", cost, cost);
+    fleet.RequestForQueue(m_now, "team");
+    Carry(vm, fleet.TakeEffects());
+    fleet.SetWaiting("team", 0, 0);
+    return fleet.Admit(m_now, "team", cost);
+  }
+
   ServingFleet& router(const std::string& vm) { return m_routers.at(vm); }
 
   static constexpr std::int64_t kRate = 1'000;
@@ -157,6 +170,18 @@
   EXPECT_LE(admitted, Bench::kBurst + Bench::kRate * kSeconds);
 }
 
+// In a fleet with more routers than share holders, requests of up to the whole
+// burst are admitted after one exchange with the holders.
+TEST(ServingFleet, AdmitsALargeRequestWithoutWaitingForPolls) {
+  const std::vector<std::string> vms{"r1", "r2", "r3", "r4",  "r5",  "r6",
+                                     "r7", "r8", "r9", "r10", "r11", "r12"};
+  for (const std::string& vm : vms) {
+    Bench bench(vms);
+    bench.Pass(seconds(20));
+    EXPECT_TRUE(bench.AdmitWithoutTick(vm, Bench::kBurst * 9 / 10)) << vm;
+  }
+}
+
 // All routers restart at once while callers wait. The loans of the old
 // processes are lost and must not delay the new ones.
 TEST(ServingFleet, ServesWithinASecondAfterAllRoutersRestarted) {
