Batch the watches of router records and share pages too

Cause: a gateway's watch returned for each record of each router that started and for each write of a share page, and was started again at once: the calls at a start grow with the square of the gateways.

Change: the watcher takes a list of key prefixes with a delay each; records of routers and shares wait 500 ms, numbers of runs as long as workers' entries. The operators' keys are still read at once. A writer learns of a conflict from the reply to its write, as before.

Tests: BatchesChangesThatNeedNotBeKnownAtOnce (200 changes in 2 s: at most 6 watches, 201 without the list), TheShortestDelayOfABatchCounts.

--- a/source/core/store/key_watcher.cc
+++ b/source/core/store/key_watcher.cc
@@ -106,19 +106,28 @@
   }
   m_revision = std::max(m_revision, changes.revision);
   effects.emplace_back(KeysVerified{.at = m_call_started});
-  if (CanDelayWatch(changes))
-    m_next_tick = now + m_options.batch_delay;
+  const Duration delay = BatchDelay(changes);
+  if (delay > Duration::zero())
+    m_next_tick = now + delay;
   else
     effects.push_back(MakeCall(now));
   return effects;
 }
 
-bool KeyWatcher::CanDelayWatch(const StoreChanges& changes) const {
-  return m_options.batch_delay > Duration::zero() && !changes.changes.empty() &&
-         std::ranges::all_of(
-             changes.changes, [this](const StoreChange& change) {
-               return change.item.key.starts_with(m_options.batched_prefix);
-             });
+Duration KeyWatcher::BatchDelay(const StoreChanges& changes) const {
+  if (changes.changes.empty())
+    return Duration::zero();
+  Duration shortest = Duration::max();
+  for (const StoreChange& change : changes.changes) {
+    const auto batched =
+        std::ranges::find_if(m_options.batched, [&](const BatchedKeys& keys) {
+          return change.item.key.starts_with(keys.prefix);
+        });
+    if (batched == m_options.batched.end())
+      return Duration::zero();
+    shortest = std::min(shortest, batched->delay);
+  }
+  return shortest;
 }
 
 std::vector<WatcherEffect> KeyWatcher::OnWatchFailed(TimePoint now,
--- a/source/core/store/key_watcher.h
+++ b/source/core/store/key_watcher.h
@@ -94,6 +94,13 @@
                                    StoreUnreachable,
                                    StoreReachable>;
 
+// Keys whose changes need not be known at once.
+struct BatchedKeys {
+  std::string prefix;
+  // The next watch starts this much after a change.
+  Duration delay = Duration::zero();
+};
+
 struct WatcherOptions {
   std::string prefix;
   // A watch without changes ends after this time, which bounds the age of the
@@ -103,10 +110,9 @@
   // doubled with each further failure up to the maximum.
   Duration retry_delay = std::chrono::milliseconds(120);
   Duration max_retry_delay = std::chrono::milliseconds(480);
-  // After changes that are all under `batched_prefix`, the next watch starts
-  // this much later, so that frequent changes need fewer calls.
-  Duration batch_delay = Duration::zero();
-  std::string batched_prefix;
+  // After changes of these keys alone, the next watch starts later, so that
+  // frequent changes need fewer calls.
+  std::vector<BatchedKeys> batched = {};
   std::uint64_t random_seed = 1;
 };
 
@@ -132,7 +138,8 @@
   enum class Phase { kReading, kWatching };
 
   WatcherEffect MakeCall(TimePoint now);
-  bool CanDelayWatch(const StoreChanges& changes) const;
+  // Returns the shortest delay among the changes.
+  Duration BatchDelay(const StoreChanges& changes) const;
   void ScheduleRetry(TimePoint now);
   void HandleReachable(std::vector<WatcherEffect>& effects);
   void HandleFailure(TimePoint now,
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -61,6 +61,9 @@
                        settings.key_revocation_ms})) /
          2;
 }
+// When many routers start, each one's watch would return for each record of the
+// others. A writer learns of a conflict from the reply to its write.
+inline constexpr Duration kRecordBatchDelay = std::chrono::milliseconds(500);
 inline constexpr Duration kGatewayWatchTimeout =
     std::chrono::milliseconds(1'500);
 
@@ -231,8 +234,11 @@
     // One watch of all keys needs a third of the calls of three watches.
     WatcherOptions all_keys =
         this->MakeWatcherOptions("", kGatewayWatchTimeout);
-    all_keys.batch_delay = WorkerBatchDelay(m_settings);
-    all_keys.batched_prefix = Protocol::kWorkerPrefix;
+    all_keys.batched = {
+        {.prefix = std::string(Protocol::kWorkerPrefix),
+         .delay = WorkerBatchDelay(m_settings)},
+        {.prefix = kRecordPrefix, .delay = kRecordBatchDelay},
+        {.prefix = kIncarnationPrefix, .delay = WorkerBatchDelay(m_settings)}};
     m_store.Watch(std::move(all_keys));
     this->LogStarted();
     RequestIncarnation();
--- a/source/unit_tests/core/store/key_watcher_test.cc
+++ b/source/unit_tests/core/store/key_watcher_test.cc
@@ -218,5 +218,61 @@
   EXPECT_TRUE(keys.Add("b"));
 }
 
+// Returns how many watches the watcher starts if each change arrives at once.
+std::size_t CountWatches(const std::vector<BatchedKeys>& batched,
+                         const std::string& key,
+                         Duration between,
+                         int changes) {
+  KeyWatcher watcher({.prefix = "", .batched = batched});
+  TimePoint now(seconds(100));
+  std::size_t watches = 0;
+  bool is_watching = false;
+  const auto apply = [&](const std::vector<WatcherEffect>& effects) {
+    for (const WatcherEffect& effect : effects) {
+      const bool starts = std::holds_alternative<WatchStore>(effect);
+      watches += starts ? 1 : 0;
+      is_watching = is_watching || starts;
+    }
+  };
+  watcher.Tick(now);
+  apply(watcher.OnPageRead(now, StorePage{.revision = 1}));
+  StoreChanges pending{.revision = 1};
+  for (int i = 0; i < changes; ++i) {
+    now += between;
+    apply(watcher.Tick(now));
+    pending.changes.push_back(
+        {.item = {.key = key, .revision = ++pending.revision}});
+    if (!std::exchange(is_watching, false))
+      continue;
+    apply(watcher.OnChanges(now, pending));
+    pending.changes.clear();
+  }
+  return watches;
+}
+
+TEST(KeyWatcher, BatchesChangesThatNeedNotBeKnownAtOnce) {
+  const std::vector<BatchedKeys> batched{
+      {.prefix = "w/", .delay = seconds(2)},
+      {.prefix = "r/", .delay = milliseconds(500)}};
+  // Two seconds in which 200 routers start and write their records.
+  EXPECT_LE(CountWatches(batched, "r/x", milliseconds(10), 200), 6U);
+  EXPECT_LE(CountWatches(batched, "w/x", milliseconds(10), 200), 2U);
+  // The configuration is always read at once.
+  EXPECT_EQ(CountWatches(batched, "op/config", milliseconds(10), 200), 201U);
+}
+
+TEST(KeyWatcher, TheShortestDelayOfABatchCounts) {
+  KeyWatcher watcher({.prefix = "",
+                      .batched = {{.prefix = "w/", .delay = seconds(2)},
+                                  {.prefix = "r/", .delay = seconds(1)}}});
+  const TimePoint now(seconds(100));
+  watcher.Tick(now);
+  watcher.OnPageRead(now, StorePage{.revision = 1});
+  watcher.OnChanges(now, {.changes = {{.item = {.key = "w/a", .revision = 2}},
+                                      {.item = {.key = "r/a", .revision = 3}}},
+                          .revision = 3});
+  EXPECT_EQ(watcher.NextTick(), now + seconds(1));
+}
+
 }  // namespace
 }  // namespace boragepick
--- a/source/wire/record_codec.h
+++ b/source/wire/record_codec.h
@@ -16,6 +16,9 @@
 
 namespace boragepick {
 
+// The prefix of the records that processes share.
+inline constexpr const char* kRecordPrefix = "/boragepick/";
+
 // The prefix of all keys that the feed distributes. Other records use other
 // prefixes.
 inline constexpr const char* kFeedPrefix = "/boragepick/feed/";
