Take only events for progress of a stream, not comments

Change: only an event with a new id is progress. Comments are still forwarded.

Tests: LeavesAStalledStreamThatSendsBytesNowAndThen failed before; KeepsASlowStreamThatGoesOn and AWorkerThatLeftTheListCompletesItsStream pass on the code before too.

--- a/source/core/serving/request_responses.cc
+++ b/source/core/serving/request_responses.cc
@@ -120,6 +120,7 @@
                                  std::string_view bytes) {
   Attempt& attempt = *exchange.attempt;
   std::string forwarded;
+  bool has_event = false;
   std::string_view fault;
   for (StreamEvent& event : attempt.events.Append(bytes)) {
     fault = FindStreamFault(exchange, event);
@@ -132,6 +133,7 @@
           *event.id <= *exchange.last_delivered_event)
         continue;
       exchange.last_delivered_event = event.id;
+      has_event = true;
     }
     forwarded += event.bytes;
   }
@@ -158,8 +160,10 @@
     }
     m_state.Emit(SendResponseBody{.id = exchange.request->id,
                                   .bytes = std::move(forwarded)});
-    RecordProgress(now, exchange);
   }
+  // A stalled worker may still send comments.
+  if (has_event)
+    RecordProgress(now, exchange);
   if (!fault.empty())
     HandleAttemptFailure(now, exchange, std::string(fault));
 }
--- a/source/unit_tests/core/serving/serving_silence_test.cc
+++ b/source/unit_tests/core/serving/serving_silence_test.cc
@@ -199,6 +199,52 @@
     EXPECT_EQ(worker.running, 0U) << id;
 }
 
+// Bytes that complete no event, and comments, come now and then.
+TEST_F(ServingSilence, LeavesAStalledStreamThatSendsBytesNowAndThen) {
+  for (const std::string bytes : {"i", ": alive\n\n"}) {
+    ServingFixture fixture(OptionsWithRetries(50));
+    fixture.Start();
+    const SendAttempt begun = BeginStream(fixture);
+    for (int i = 0; i < 10; ++i) {
+      fixture.Advance(milliseconds(200));
+      fixture.Handle(
+          AttemptBodyReceived{.attempt = begun.attempt, .bytes = bytes});
+    }
+    const auto second = fixture.TakeEffects<SendAttempt>();
+    ASSERT_EQ(second.size(), 1U) << bytes;
+    EXPECT_EQ(second[0].resume_after, 1U);
+  }
+}
+
+// The longest pause that is no silence, again and again.
+TEST_F(ServingSilence, KeepsASlowStreamThatGoesOn) {
+  ServingFixture fixture(OptionsWithRetries(50));
+  fixture.Start();
+  const SendAttempt begun = BeginStream(fixture);
+  for (int event = 2; event < 9; ++event) {
+    fixture.Advance(milliseconds(1'300));
+    fixture.RespondEvent(begun.attempt, event);
+  }
+  fixture.Handle(AttemptCompleted{.attempt = begun.attempt});
+  EXPECT_TRUE(fixture.TakeEffects<CancelAttempt>().empty());
+  EXPECT_TRUE(fixture.TakeEffects<SendAttempt>().empty());
+  EXPECT_EQ(fixture.TakeEffects<EndResponse>().size(), 1U);
+}
+
+// A worker whose heartbeats are missing leaves the list while it runs a stream.
+TEST_F(ServingSilence, AWorkerThatLeftTheListCompletesItsStream) {
+  ServingFixture fixture(OptionsWithRetries(50));
+  fixture.Start();
+  const SendAttempt begun = BeginStream(fixture);
+  fixture.Handle(WorkerUnlisted{.id = begun.worker});
+  fixture.Advance(milliseconds(500));
+  fixture.RespondEvent(begun.attempt, 2);
+  fixture.Handle(AttemptCompleted{.attempt = begun.attempt});
+  EXPECT_TRUE(fixture.TakeEffects<CancelAttempt>().empty());
+  EXPECT_TRUE(fixture.TakeEffects<SendAttempt>().empty());
+  EXPECT_EQ(fixture.TakeEffects<EndResponse>().size(), 1U);
+}
+
 // The worker that would take a silent stream over may be full.
 TEST_F(ServingSilence, HoldsASilentStreamThatTheNextWorkerRejects) {
   ServingFixture fixture(OptionsWithRetries(50));
