--- a/source/unit_tests/frontends/serving_settings_test.cc
+++ b/source/unit_tests/frontends/serving_settings_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "common/error.h"
@@ -61,11 +62,12 @@
   };
   for (const Case& example : cases) {
     const std::string& given = example.given;
-    const ServingSettings settings = ParseServingSettings(
-        GatewayFile("[limits]\nkey_revocation_ms = " + given +
-                    "\nretry_reserve = " + given + "\nquota_slack_tokens = " +
-                    given + "\ngrace_s = " + given + "\n"),
-        "g.ini");
+    std::string limits = "[limits]\n";
+    for (const std::string_view key : {"key_revocation_ms", "retry_reserve",
+                                       "quota_slack_tokens", "grace_s"})
+      limits.append(key).append(" = ").append(given).append("\n");
+    const ServingSettings settings =
+        ParseServingSettings(GatewayFile(limits), "g.ini");
     EXPECT_EQ(settings.key_revocation_ms, example.revocation_ms) << given;
     EXPECT_EQ(settings.retry_reserve, example.reserve) << given;
     EXPECT_EQ(settings.quota_slack, example.slack) << given;
