--- a/source/unit_tests/core/store/key_watcher_test.cc
+++ b/source/unit_tests/core/store/key_watcher_test.cc
@@ -258,7 +258,7 @@
   EXPECT_LE(CountWatches(batched, "r/x", milliseconds(10), 200), 6U);
   EXPECT_LE(CountWatches(batched, "w/x", milliseconds(10), 200), 2U);
   // The configuration is always read at once.
-  EXPECT_EQ(CountWatches(batched, "op/config", milliseconds(10), 200), 201U);
+  EXPECT_EQ(CountWatches(batched, "settings", milliseconds(10), 200), 201U);
 }
 
 TEST(KeyWatcher, TheShortestDelayOfABatchCounts) {
