--- a/review/standins.h
+++ b/review/standins.h
@@ -359,6 +359,12 @@
     Write(key, Base64(value.dump()), 0);
     m_changed.notify_all();
   }
+  // Closes the connections of the watches that are waiting, without an answer.
+  void CutWatches() {
+    const std::lock_guard lock(m_mutex);
+    ++m_cuts;
+    m_changed.notify_all();
+  }
   void Remove(const std::string& key) {
     const std::lock_guard lock(m_mutex);
     Erase(key);
@@ -366,6 +372,9 @@
   }
 
  private:
+  // No status of HTTP: the connection is closed instead of an answer.
+  static constexpr int kCut = 0;
+
   struct Item {
     std::string value;
     std::uint64_t revision = 0;
@@ -383,6 +392,8 @@
     while (request = {}, reader.ReadRequest(request, milliseconds(120'000))) {
       int status = 200;
       const Json answer = Handle(request, status);
+      if (status == kCut)
+        return;
       if (!SendAll(fd, ResponseText(status, "Content-Type: application/json\r\n",
                                     answer.dump())))
         return;
@@ -421,7 +432,7 @@
       return Range(query["prefix"], query["after"]);
     if (path == "/-/kv-watch")
       return Watch(lock, query["prefix"], std::stoull(query["after"]),
-                   milliseconds(std::stoul(query["wait-ms"])));
+                   milliseconds(std::stoul(query["wait-ms"])), status);
     if (path == "/-/kv-txn")
       return Transaction(Json::parse(request.body), status);
     if (path == "/-/kv-lease") {
@@ -469,8 +480,10 @@
   Json Watch(std::unique_lock<std::mutex>& lock,
              const std::string& prefix,
              std::uint64_t after,
-             milliseconds wait) {
+             milliseconds wait,
+             int& status) {
     const auto end = Clock::now() + wait;
+    const int cuts = m_cuts;
     while (true) {
       Json events = Json::array();
       for (const auto& [revision, event] : m_history) {
@@ -481,6 +494,10 @@
       if (!events.empty() || Clock::now() >= end)
         return {{"events", events}, {"store-revision", m_revision}};
       m_changed.wait_until(lock, std::min(end, Clock::now() + milliseconds(200)));
+      if (m_cuts != cuts) {
+        status = kCut;
+        return Json::object();
+      }
       EndLeases();
     }
   }
@@ -556,6 +573,7 @@
   std::map<std::string, Item> m_items;
   std::map<std::uint64_t, Json> m_history;
   std::map<std::uint64_t, Lease> m_leases;
+  int m_cuts = 0;
   std::uint64_t m_revision = 100;
   std::uint64_t m_last_lease = 7'000;
   Server m_server;
