--- a/review/standins.h
+++ b/review/standins.h
@@ -107,7 +107,7 @@
 // system takes those of outgoing connections.
 inline std::vector<int> FreePorts(std::size_t count) {
   std::vector<int> ports;
-  int candidate = 20'000 + static_cast<int>(getpid() % 8'000);
+  int candidate = 20'000 + static_cast<int>(getpid() * 16L % 11'000);
   while (ports.size() < count && candidate < 32'000) {
     int port = candidate++;
     const int fd = Listen(port);
