Don't take a cut watch for an outage in which entries may have expired

Cause: KeyWatcher reported each failed watch as an outage of the store, and the router kept every worker that was missing afterwards for 2.3 s, for entries that expire while the store is away. In 0.2 s no entry can expire.

Change: a watch that the store ends is read again without a report of an outage (E0613). After an outage the watcher says how long the store may have been away at most: since its last answer, or since it cut a watch in waiting. The router keeps missing workers only if an entry can have expired in that time: 1.5 heartbeats of the workers (new setting limits.worker_heartbeat_ms, from the platform's settings). Entries that lapsed in a longer outage have 2.3 s as before to come back (E0614).

--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -163,11 +163,18 @@
       {LogEvent::kKeysCurrent, kInfo, kFeed, "keys_current",
        "The local keys are confirmed as current again."},
       {LogEvent::kPlatformRegained, kInfo, kFeed, "platform_regained",
-       "Calls to the platform succeed again."},
+       "Calls to the platform succeed again; the field outage_ms gives how "
+       "long it may have been away at most."},
       {LogEvent::kWorkerSuspected, kWarning, kRouting, "worker_suspected",
        "A worker failed a request and is avoided during its backoff."},
       {LogEvent::kWorkerPaused, kInfo, kRouting, "worker_paused",
        "A worker asked for no requests from this process for a while."},
+      {LogEvent::kWatchCut, kInfo, kFeed, "watch_cut",
+       "The platform ended a watch without an answer; all keys are read "
+       "again."},
+      {LogEvent::kWorkerMissing, kInfo, kFeed, "worker_missing",
+       "A worker is not in the list after an outage of the platform in which "
+       "its entry may have expired; it is used for a moment longer."},
       {LogEvent::kPeerFrameRejected, kWarning, kPeers, "peer_frame_rejected",
        "A frame on the peer port could not be decoded and was dropped."},
       {LogEvent::kUpstreamSilent, kWarning, kPeers, "upstream_silent",
--- a/source/common/log_event.h
+++ b/source/common/log_event.h
@@ -94,6 +94,8 @@
   kPlatformRegained = 610,
   kWorkerSuspected = 611,
   kWorkerPaused = 612,
+  kWatchCut = 613,
+  kWorkerMissing = 614,
   kPeerFrameRejected = 700,
   kUpstreamSilent = 701,
 };
--- a/source/core/serving/serving_messages.h
+++ b/source/core/serving/serving_messages.h
@@ -71,7 +71,10 @@
 // The worker list can't be read, or can be read again. Workers whose entries
 // expired in between may be listed again.
 struct WorkerListUnavailable {};
-struct WorkerListRestored {};
+struct WorkerListRestored {
+  // How long the list's store may have been away at most.
+  Duration outage = Duration::zero();
+};
 // The current configuration was confirmed to be the newest at `at`.
 struct ConfigConfirmed {
   TimePoint at;
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -9,6 +9,10 @@
 // Worker entries that expired during an outage of the list are listed again
 // within this time after it.
 constexpr Duration kRelistGrace = std::chrono::milliseconds(2'300);
+// The shortest outage, in heartbeats of workers, in which an entry can expire.
+// It takes three heartbeats without a renewal, of which one may have passed
+// before; the rest is for heartbeats that are not punctual.
+constexpr double kMinExpiryHeartbeats = 1.5;
 // Requests already in flight when the connections are closed arrive within this
 // time.
 constexpr Duration kInFlightGrace = std::chrono::milliseconds(300);
@@ -111,9 +115,13 @@
   m_list_unavailable = true;
 }
 
-void ServingRouter::On(TimePoint now, const WorkerListRestored& /*event*/) {
+void ServingRouter::On(TimePoint now, const WorkerListRestored& event) {
   m_list_unavailable = false;
-  m_relist_until = now + kRelistGrace;
+  const double heartbeats =
+      ToSeconds(event.outage) / ToSeconds(m_state.options.worker_heartbeat);
+  // After a short interruption, a worker that is missing has left.
+  if (heartbeats >= kMinExpiryHeartbeats)
+    m_relist_until = now + kRelistGrace;
 }
 
 void ServingRouter::RemoveMissingWorkers(TimePoint now) {
@@ -125,7 +133,9 @@
 
 void ServingRouter::Unlist(TimePoint now, const std::string& id) {
   if (m_list_unavailable || now < m_relist_until) {
-    m_missing_workers.insert(id);
+    const bool is_known = m_state.workers.Find(id) != nullptr;
+    if (is_known && m_missing_workers.insert(id).second)
+      m_state.Log(LogEvent::kWorkerMissing, {{"worker", id}});
     return;
   }
   if (!m_state.workers.Remove(id))
--- a/source/core/serving/serving_state.h
+++ b/source/core/serving/serving_state.h
@@ -37,6 +37,9 @@
   double retry_reserve = 50;
   // Tokens of a team that the fleet may admit beyond its quota.
   std::int64_t quota_slack = 0;
+  // A worker renews its entry in the list once in this time. The entry expires
+  // after three times without a renewal.
+  Duration worker_heartbeat = std::chrono::milliseconds(1'200);
   // New requests are still accepted for this long after a drain begins, until
   // the load balancer has noticed it.
   Duration drain_notice = std::chrono::seconds(3);
--- a/source/core/store/key_watcher.cc
+++ b/source/core/store/key_watcher.cc
@@ -4,6 +4,14 @@
 
 namespace boragepick {
 
+namespace {
+
+// A store that is away may end a new connection at once. A watch that waited
+// for longer than this was accepted.
+constexpr Duration kMinAcceptedWait = std::chrono::milliseconds(100);
+
+}  // namespace
+
 std::vector<WatcherEffect> KeyWatcher::Tick(TimePoint now) {
   if (now < m_next_tick)
     return {};
@@ -13,6 +21,7 @@
 WatcherEffect KeyWatcher::MakeCall(TimePoint now) {
   m_next_tick = kNever;
   m_call_started = now;
+  m_last_contact = std::min(m_last_contact, now);
   if (m_phase == Phase::kWatching)
     return WatchStore{.prefix = m_options.prefix,
                       .after = m_revision,
@@ -33,10 +42,12 @@
   m_next_tick = now + m_retry_delay + Duration(extra);
 }
 
-void KeyWatcher::HandleReachable(std::vector<WatcherEffect>& effects) {
+void KeyWatcher::HandleReachable(TimePoint now,
+                                 std::vector<WatcherEffect>& effects) {
   if (m_unreachable)
-    effects.emplace_back(StoreReachable{});
+    effects.emplace_back(StoreReachable{.outage = now - m_last_contact});
   m_unreachable = false;
+  m_last_contact = now;
   m_retry_delay = Duration::zero();
 }
 
@@ -58,7 +69,7 @@
     HandleFailure(now, effects, "read failed");
     return effects;
   }
-  HandleReachable(effects);
+  HandleReachable(now, effects);
   if (!m_read_revision)
     m_read_revision = page->revision;
   for (const StoreItem& item : page->items) {
@@ -92,7 +103,7 @@
 std::vector<WatcherEffect> KeyWatcher::OnChanges(TimePoint now,
                                                  const StoreChanges& changes) {
   std::vector<WatcherEffect> effects;
-  HandleReachable(effects);
+  HandleReachable(now, effects);
   for (const StoreChange& change : changes.changes) {
     StoreRevision& seen = m_delivered[change.item.key];
     if (change.item.revision <= seen)
@@ -137,11 +148,27 @@
   // that was cut off, which may have lost changes before that.
   m_phase = Phase::kReading;
   m_last_key.clear();
-  if (failure == WatchFailure::kHistoryGone)
-    effects.push_back(MakeCall(now));
-  else
-    HandleFailure(now, effects, kWatchFailureNames.Name(failure));
+  switch (failure) {
+    case WatchFailure::kHistoryGone:
+      effects.push_back(MakeCall(now));
+      break;
+    case WatchFailure::kCut:
+      HandleCut(now, effects);
+      break;
+    case WatchFailure::kUnreachable:
+      HandleFailure(now, effects, kWatchFailureNames.Name(failure));
+      break;
+  }
   return effects;
 }
 
+// Whether the store is away is left to the read that follows.
+void KeyWatcher::HandleCut(TimePoint now, std::vector<WatcherEffect>& effects) {
+  if (now - m_call_started >= kMinAcceptedWait)
+    m_last_contact = now;
+  effects.emplace_back(StoreWatchCut{});
+  // All watches may be cut at the same time.
+  ScheduleRetry(now);
+}
+
 }  // namespace boragepick
--- a/source/core/store/key_watcher.h
+++ b/source/core/store/key_watcher.h
@@ -45,10 +45,15 @@
 };
 
 // Why a watch failed.
-enum class WatchFailure { kHistoryGone, kUnreachable };
+enum class WatchFailure {
+  kHistoryGone,
+  kCut,  // the store ended its connection instead of answering
+  kUnreachable,
+};
 
 inline constexpr EnumTable kWatchFailureNames{std::array{
     EnumName<WatchFailure>{WatchFailure::kHistoryGone, "history_gone"},
+    EnumName<WatchFailure>{WatchFailure::kCut, "cut"},
     EnumName<WatchFailure>{WatchFailure::kUnreachable, "unreachable"},
 }};
 
@@ -83,7 +88,13 @@
 struct StoreUnreachable {
   std::string why;
 };
-struct StoreReachable {};
+struct StoreReachable {
+  // How long the store may have been away at most: the time since it was last
+  // known to be there, or since the first call.
+  Duration outage = Duration::zero();
+};
+// The store cut a watch, which is no outage. All keys are read again.
+struct StoreWatchCut {};
 
 using WatcherEffect = std::variant<ReadStorePage,
                                    WatchStore,
@@ -92,7 +103,8 @@
                                    KeysSynced,
                                    KeysVerified,
                                    StoreUnreachable,
-                                   StoreReachable>;
+                                   StoreReachable,
+                                   StoreWatchCut>;
 
 // Keys whose changes need not be known at once.
 struct BatchedKeys {
@@ -141,7 +153,8 @@
   // Returns the shortest delay among the changes.
   Duration BatchDelay(const StoreChanges& changes) const;
   void ScheduleRetry(TimePoint now);
-  void HandleReachable(std::vector<WatcherEffect>& effects);
+  void HandleReachable(TimePoint now, std::vector<WatcherEffect>& effects);
+  void HandleCut(TimePoint now, std::vector<WatcherEffect>& effects);
   void HandleFailure(TimePoint now,
                      std::vector<WatcherEffect>& effects,
                      std::string_view why);
@@ -163,6 +176,8 @@
   // restores an older value.
   std::map<std::string, StoreRevision> m_delivered;
   bool m_unreachable = false;
+  // When the store was last known to be there.
+  TimePoint m_last_contact = kNever;
   // The latest retry delay; zero after a success.
   Duration m_retry_delay = Duration::zero();
 };
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -130,8 +130,12 @@
     Log(LogEvent::kPlatformUnreachable,
         {{"prefix", prefix}, {"why", event.why}});
   }
-  void LogStoreState(const std::string& prefix, const StoreReachable&) {
-    Log(LogEvent::kPlatformRegained, {{"prefix", prefix}});
+  void LogStoreState(const std::string& prefix, const StoreReachable& event) {
+    Log(LogEvent::kPlatformRegained,
+        {{"prefix", prefix}, {"outage_ms", FormatMilliseconds(event.outage)}});
+  }
+  void LogStoreState(const std::string& prefix, const StoreWatchCut&) {
+    Log(LogEvent::kWatchCut, {{"prefix", prefix}});
   }
 
   // Obtains a number for this run of the process by a write to the store, whose
@@ -277,6 +281,7 @@
         .retry_share = static_cast<double>(m_settings.retry_percent) / kPercent,
         .retry_reserve = static_cast<double>(m_settings.retry_reserve),
         .quota_slack = m_settings.quota_slack,
+        .worker_heartbeat = milliseconds(m_settings.worker_heartbeat_ms),
         .drain_limit = DrainLimit()};
   }
 
@@ -404,7 +409,10 @@
   }
   void Handle(const std::string& prefix, const StoreReachable& event) {
     this->LogStoreState(prefix, event);
-    m_machine.Post(WorkerListRestored{});
+    m_machine.Post(WorkerListRestored{.outage = event.outage});
+  }
+  void Handle(const std::string& prefix, const StoreWatchCut& event) {
+    this->LogStoreState(prefix, event);
   }
 
   void QuitOnceResponsesAreSent() {
@@ -563,6 +571,9 @@
   void Handle(const std::string& prefix, const StoreReachable& event) {
     this->LogStoreState(prefix, event);
   }
+  void Handle(const std::string& prefix, const StoreWatchCut& event) {
+    this->LogStoreState(prefix, event);
+  }
   // A controller ignores all other updates.
   template <typename Update>
   void Handle(const std::string& /*prefix*/, const Update& /*update*/) {}
--- a/source/frontends/serving/serving_settings.h
+++ b/source/frontends/serving/serving_settings.h
@@ -56,6 +56,10 @@
     "limits",  "worker_drain_ms",
     2'000,     100,
     3'600'000, "a worker that is leaving gets no new requests after this time"};
+inline constexpr LimitSetting kWorkerHeartbeatMs{
+    "limits", "worker_heartbeat_ms",
+    1'200,    10,
+    600'000,  "workers renew their entries in the list once in this time"};
 inline constexpr NumberSetting kRetryPercent{
     "limits", "retry_percent",
     20,       0,
@@ -104,6 +108,7 @@
   std::int64_t key_revocation_ms = 0;
   std::int64_t config_apply_ms = 0;
   std::int64_t worker_drain_ms = 0;
+  std::int64_t worker_heartbeat_ms = 0;
   std::int64_t retry_percent = 0;
   std::int64_t retry_reserve = 0;
   std::int64_t quota_slack = 0;
--- a/source/frontends/serving/store_task.h
+++ b/source/frontends/serving/store_task.h
@@ -52,7 +52,8 @@
                                  KeysSynced,
                                  KeysVerified,
                                  StoreUnreachable,
-                                 StoreReachable>;
+                                 StoreReachable,
+                                 StoreWatchCut>;
 
 inline constexpr ClientOptions kStoreClientOptions{
     .keepalive = {.user_timeout = std::chrono::milliseconds(1'000),
@@ -228,13 +229,14 @@
       found->second.body += event.bytes;
   }
   void Handle(const CallCompleted& event) {
-    CompleteCall(event.id, /*complete=*/true);
+    CompleteCall(event.id, std::nullopt);
   }
   void Handle(const CallFailed& event) {
-    CompleteCall(event.id, /*complete=*/false);
+    CompleteCall(event.id, event.failure);
   }
 
-  void CompleteCall(CallId id, bool complete) {
+  void CompleteCall(CallId id, std::optional<CallFailure> failure) {
+    const bool complete = !failure;
     const auto found = m_calls.find(id);
     if (found == m_calls.end())
       return;
@@ -254,11 +256,17 @@
         ok ? TryDecode(&Codec::DecodeChanges, call.body) : std::nullopt;
     if (changes)
       return ExecuteAll(watcher, watcher.OnChanges(now, *changes));
+    ExecuteAll(watcher,
+               watcher.OnWatchFailed(now, ToWatchFailure(failure, call)));
+  }
+  static WatchFailure ToWatchFailure(std::optional<CallFailure> failure,
+                                     const Call& call) {
+    if (failure == CallFailure::kReset)
+      return WatchFailure::kCut;
     const bool history_gone =
-        complete && call.status == Codec::kHistoryGoneStatus;
-    ExecuteAll(watcher, watcher.OnWatchFailed(
-                            now, history_gone ? WatchFailure::kHistoryGone
-                                              : WatchFailure::kUnreachable));
+        !failure && call.status == Codec::kHistoryGoneStatus;
+    return history_gone ? WatchFailure::kHistoryGone
+                        : WatchFailure::kUnreachable;
   }
 
   template <typename Reply>
--- a/source/unit_tests/core/store/key_watcher_test.cc
+++ b/source/unit_tests/core/store/key_watcher_test.cc
@@ -188,6 +188,71 @@
   EXPECT_EQ(proven, start + seconds(3));
 }
 
+template <typename Effect>
+const Effect* FindEffect(const std::vector<WatcherEffect>& effects) {
+  for (const WatcherEffect& effect : effects) {
+    if (const auto* found = std::get_if<Effect>(&effect))
+      return found;
+  }
+  return nullptr;
+}
+
+// A watch that had waited for a second was cut. This was reported as an outage
+// of the store, after which workers that had left were used for too long.
+TEST(KeyWatcher, ACutWatchIsNoOutage) {
+  KeyWatcher watcher({.prefix = "p/"});
+  TimePoint now = TimePoint(seconds(10));
+  watcher.Tick(now);
+  watcher.OnPageRead(now, StorePage{.revision = 5});
+  now += seconds(1);
+  const auto cut = watcher.OnWatchFailed(now, WatchFailure::kCut);
+  EXPECT_NE(FindEffect<StoreWatchCut>(cut), nullptr);
+  EXPECT_EQ(FindEffect<StoreUnreachable>(cut), nullptr);
+  now = watcher.NextTick();
+  EXPECT_NE(FindEffect<ReadStorePage>(watcher.Tick(now)), nullptr);
+  const auto read = watcher.OnPageRead(now, StorePage{.revision = 6});
+  EXPECT_EQ(FindEffect<StoreReachable>(read), nullptr);
+  EXPECT_NE(FindEffect<KeysSynced>(read), nullptr);
+}
+
+// The end of a watch in waiting shows that the store was there until then. One
+// that ends at once, or isn't answered, shows nothing.
+TEST(KeyWatcher, AnOutageCountsFromTheLastContact) {
+  struct Case {
+    Duration waited;
+    WatchFailure failure;
+    // From the last contact to the failure.
+    Duration silent;
+  };
+  for (const Case& c :
+       {Case{seconds(1), WatchFailure::kCut, seconds(0)},
+        Case{milliseconds(1), WatchFailure::kCut, milliseconds(3'001)},
+        Case{seconds(1), WatchFailure::kUnreachable, seconds(4)}}) {
+    KeyWatcher watcher(
+        {.prefix = "p/", .batched = {{.prefix = "p/w", .delay = seconds(3)}}});
+    TimePoint now = TimePoint(seconds(10));
+    watcher.Tick(now);
+    watcher.OnPageRead(now, StorePage{.revision = 5});
+    watcher.OnChanges(
+        now,
+        {.changes = {{.item = {.key = "p/w", .revision = 6}}}, .revision = 6});
+    now += seconds(3);
+    watcher.Tick(now);
+    now += c.waited;
+    const TimePoint failed_at = now;
+    watcher.OnWatchFailed(now, c.failure);
+    now = watcher.NextTick();
+    watcher.Tick(now);
+    watcher.OnPageRead(now, std::nullopt);
+    now = watcher.NextTick();
+    watcher.Tick(now);
+    const auto read = watcher.OnPageRead(now, StorePage{.revision = 6});
+    const auto* reachable = FindEffect<StoreReachable>(read);
+    ASSERT_NE(reachable, nullptr);
+    EXPECT_EQ(reachable->outage, now - failed_at + c.silent);
+  }
+}
+
 TEST(LeasedRecord, RequestsANewLeaseWhenTheOldOneHasExpired) {
   TimePoint now = TimePoint(seconds(10));
   LeasedRecord record("k", "v");
