Give the outage in the test of the grace period a length

ServingRouter.KeepsWorkersThatExpiredInAListOutageForAGracePeriod failed since: its outage had no length, and the event now says how long the store may have been away. The test's outage is one of 4 s, in which entries expire; what it checks is unchanged.

--- a/source/unit_tests/core/serving/serving_router_test.cc
+++ b/source/unit_tests/core/serving/serving_router_test.cc
@@ -408,7 +408,7 @@
   fixture.Start();
   fixture.Handle(WorkerListUnavailable{});
   fixture.Handle(WorkerUnlisted{.id = "p1"});
-  fixture.Handle(WorkerListRestored{});
+  fixture.Handle(WorkerListRestored{.outage = seconds(4)});
   fixture.Handle(WorkerUnlisted{.id = "p2"});
   EXPECT_EQ(fixture.router().state().workers.size(), 5U);
   fixture.Advance(seconds(1));
