Split events in linear time

A worker that sent small events as fast as it could stopped a gateway for seconds at a time: requests of other callers were not served meanwhile.

Cause: the end of each event was looked for as "\n\n" and as "\n\r\n", and the second search went through all bytes that had been received after it. An unfinished event was searched from its first byte with each part.

Change: one search from where the last one ended.

--- a/source/core/serving/event_splitter.cc
+++ b/source/core/serving/event_splitter.cc
@@ -1,5 +1,6 @@
 #include "core/serving/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace boragepick {
@@ -44,32 +45,38 @@
   return true;
 }
 
-// Returns the position after the blank line that ends the first event of
-// `text`, or npos if the event is incomplete.
-std::size_t FindEventEnd(std::string_view text) {
-  const std::size_t lf = text.find("\n\n");
-  const std::size_t crlf = text.find("\n\r\n");
-  if (lf == std::string_view::npos && crlf == std::string_view::npos)
-    return std::string_view::npos;
-  return lf < crlf ? lf + 2 : crlf + 3;
+// Returns the position after the first blank line of `text` whose preceding
+// line ends at `from` or later, or npos if there is none.
+std::size_t FindEventEnd(std::string_view text, std::size_t from) {
+  while ((from = text.find('\n', from)) != std::string_view::npos) {
+    const std::string_view rest = text.substr(from + 1);
+    if (rest.starts_with('\n'))
+      return from + 2;
+    if (rest.starts_with("\r\n"))
+      return from + 3;
+    ++from;
+  }
+  return std::string_view::npos;
 }
 
 }  // namespace
 
 std::vector<StreamEvent> EventSplitter::Append(std::string_view bytes) {
+  // The end of a line may have come with the last bytes of the earlier ones.
+  constexpr std::size_t kMaxSplitEnd = 2;
+  std::size_t from =
+      m_partial.size() - std::min(m_partial.size(), kMaxSplitEnd);
   m_partial += bytes;
+  const std::string_view text = m_partial;
   std::vector<StreamEvent> events;
   std::size_t start = 0;
-  while (true) {
-    const std::string_view rest = std::string_view(m_partial).substr(start);
-    const std::size_t end = FindEventEnd(rest);
-    if (end == std::string_view::npos)
-      break;
-    const std::string_view event = rest.substr(0, end);
+  for (std::size_t end = FindEventEnd(text, from);
+       end != std::string_view::npos; end = FindEventEnd(text, from)) {
+    const std::string_view event = text.substr(start, end - start);
     events.push_back({.bytes = std::string(event),
                       .id = ParseEventId(event),
                       .is_comment = HasOnlyComments(event)});
-    start += end;
+    start = from = end;
   }
   m_partial.erase(0, start);
   return events;
--- a/source/unit_tests/core/serving/serving_parts_test.cc
+++ b/source/unit_tests/core/serving/serving_parts_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <ctime>
+#include <string>
+
 #include "core/serving/event_splitter.h"
 #include "core/serving/load_planner.h"
 #include "core/serving/worker_choice.h"
@@ -15,6 +18,23 @@
 
 constexpr TimePoint kNow = TimePoint(seconds(100));
 
+// The search for the end of each event went through all that followed it.
+TEST(EventSplitter, SplitsManySmallEventsInLinearTime) {
+  std::string text;
+  for (int i = 1; text.size() < (4 << 20); ++i)
+    text += "id: " + std::to_string(i) + "\n\n";
+  const std::clock_t begin = std::clock();
+  EventSplitter splitter;
+  const auto events = splitter.Append(text);
+  EXPECT_EQ(events.back().id, events.size());
+  EXPECT_FALSE(splitter.HasPartial());
+  // An event of 4 MiB in small parts.
+  for (std::size_t at = 0; at < text.size(); at += 256)
+    splitter.Append(std::string(256, 'x'));
+  EXPECT_EQ(splitter.Append("\n\n").size(), 1U);
+  EXPECT_LT(std::clock() - begin, 5 * CLOCKS_PER_SEC);
+}
+
 TEST(EventSplitter, SplitsAtBlankLinesForAnyChunkSize) {
   const std::string stream =
       "id: 1\ndata: a\n\nversion: 2\nid: 2\ndata: b\n\nid: 3\r\ndata: "
