--- a/source/core/serving/event_splitter.h
+++ b/source/core/serving/event_splitter.h
@@ -27,7 +27,7 @@
   std::vector<StreamEvent> Append(std::string_view bytes);
 
   bool HasPartial() const { return !m_partial.empty(); }
-  bool Overflowed() const { return m_partial.size() > kMaxEventSize; }
+  std::size_t partial_bytes() const { return m_partial.size(); }
   void Reset() { m_partial.clear(); }
 
  private:
--- a/source/core/serving/exchange.h
+++ b/source/core/serving/exchange.h
@@ -73,6 +73,11 @@
   EventSplitter events;
   // The last event received, whether or not the caller already had it.
   std::optional<std::uint64_t> last_event;
+  // What this router holds of the response without passing it on: `buffered`
+  // and the incomplete event.
+  std::size_t held_bytes = 0;
+  // The response is not read further until its caller has read more of it.
+  bool is_paused = false;
   // Whether an event or a byte of the response body was received.
   bool body_started = false;
   // When the first byte of a successful response's body was received.
@@ -127,6 +132,8 @@
   // The part of the prompt for which the request is refused.
   std::optional<PromptPartId> convicted_part;
 
+  // Bytes passed on that the caller has not read.
+  std::size_t unsent_bytes = 0;
   // Whether the response head was sent to the caller.
   bool head_sent = false;
   // Whether the response that was begun is a stream of events. The route may
--- /dev/null
+++ b/source/core/serving/memory_plan.h
@@ -0,0 +1,26 @@
+// How a gateway or controller divides the memory of its VM. What isn't named
+// here is left to the program itself, its connections and the allocator.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace boragepick {
+
+struct MemoryPlan {
+  // Responses that callers have not read. Above the first limit workers have to
+  // wait, above the second one the slowest callers are disconnected.
+  std::size_t response_pool_bytes = 0;
+  std::size_t max_unsent_bytes = 0;
+  // A reply of the key-value service.
+  std::size_t store_reply_bytes = 0;
+};
+
+constexpr MemoryPlan PlanMemory(std::int64_t memory_mb) {
+  const std::size_t bytes = static_cast<std::size_t>(memory_mb) << 20;
+  return {.response_pool_bytes = bytes / 8,
+          .max_unsent_bytes = bytes / 4,
+          .store_reply_bytes = bytes / 8};
+}
+
+}  // namespace boragepick
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -236,8 +236,8 @@
   ScheduleCheck(exchange, exchange.replaced_at);
 }
 
-void RequestTable::ReleaseWorker(const Exchange& exchange,
-                                 const Attempt& attempt) {
+void RequestTable::ReleaseWorker(const Exchange& exchange, Attempt& attempt) {
+  RecordHeldBytes(attempt, 0);
   Worker* worker = m_state.workers.Find(attempt.worker);
   if (worker != nullptr) {
     worker->pending_prefill_tokens -= attempt.prefill_tokens;
@@ -250,6 +250,7 @@
   if (!exchange.attempt)
     return;
   ReleaseWorker(exchange, *exchange.attempt);
+  m_paused.erase(exchange.request->id);
   exchange.attempt.reset();
 }
 
--- a/source/core/serving/request_responses.cc
+++ b/source/core/serving/request_responses.cc
@@ -105,14 +105,67 @@
     return;
   }
   attempt.buffered += bytes;
-  if (attempt.buffered.size() <= kMaxBufferedBytes)
-    return;
-  exchange->head_sent = true;
-  m_metrics.first_byte.Add(now - exchange->arrived);
+  RecordHeldBytes(attempt, attempt.buffered.size());
+  if (HoldsTooMuch(attempt, kMaxBufferedBytes))
+    ForwardBuffered(now, *exchange);
+}
+
+void RequestTable::ForwardBuffered(TimePoint now, Exchange& exchange) {
+  Attempt& attempt = *exchange.attempt;
+  exchange.head_sent = true;
+  m_metrics.first_byte.Add(now - exchange.arrived);
   m_state.Emit(
-      SendResponseHead{.id = exchange->request->id, .head = *attempt.head});
-  m_state.Emit(SendResponseBody{.id = exchange->request->id,
+      SendResponseHead{.id = exchange.request->id, .head = *attempt.head});
+  m_state.Emit(SendResponseBody{.id = exchange.request->id,
                                 .bytes = std::exchange(attempt.buffered, {})});
+  RecordHeldBytes(attempt, 0);
+}
+
+bool RequestTable::HoldsTooMuch(const Attempt& attempt,
+                                std::size_t limit) const {
+  return attempt.held_bytes > limit ||
+         (m_flow.IsMemoryShort() && m_flow.MustPause(attempt.held_bytes));
+}
+
+void RequestTable::RecordHeldBytes(Attempt& attempt, std::size_t bytes) {
+  m_flow.RecordBuffered(attempt.held_bytes, bytes);
+  attempt.held_bytes = bytes;
+}
+
+void RequestTable::OnResponseUnsent(TimePoint now,
+                                    RequestId id,
+                                    std::size_t bytes,
+                                    std::size_t total) {
+  const bool was_short = m_flow.IsMemoryShort();
+  m_flow.RecordUnsent(total);
+  if (Exchange* exchange = Find(id)) {
+    exchange->unsent_bytes = bytes;
+    PauseOrResume(now, *exchange);
+  }
+  if (!was_short || m_flow.IsMemoryShort())
+    return;
+  const std::vector<RequestId> paused(m_paused.begin(), m_paused.end());
+  for (const RequestId other : paused) {
+    if (Exchange* exchange = Find(other))
+      PauseOrResume(now, *exchange);
+  }
+}
+
+void RequestTable::PauseOrResume(TimePoint now, Exchange& exchange) {
+  if (!exchange.attempt)
+    return;
+  Attempt& attempt = *exchange.attempt;
+  if (!attempt.is_paused && m_flow.MustPause(exchange.unsent_bytes)) {
+    attempt.is_paused = true;
+    ++m_metrics.paused;
+    m_paused.insert(exchange.request->id);
+    m_state.Emit(PauseAttempt{.attempt = attempt.number});
+  } else if (attempt.is_paused && m_flow.MayResume(exchange.unsent_bytes)) {
+    attempt.is_paused = false;
+    m_paused.erase(exchange.request->id);
+    m_state.Emit(ResumeAttempt{.attempt = attempt.number});
+    RecordProgress(now, exchange);
+  }
 }
 
 void RequestTable::ForwardEvents(TimePoint now,
@@ -137,7 +190,8 @@
     }
     forwarded += event.bytes;
   }
-  if (fault.empty() && attempt.events.Overflowed())
+  RecordHeldBytes(attempt, attempt.events.partial_bytes());
+  if (fault.empty() && HoldsTooMuch(attempt, EventSplitter::kMaxEventSize))
     fault = "event too large";
   if (!forwarded.empty()) {
     if (!attempt.body_started) {
--- a/source/core/serving/request_silence.cc
+++ b/source/core/serving/request_silence.cc
@@ -84,9 +84,10 @@
 }
 
 void RequestTable::CheckProgress(TimePoint now, Exchange& exchange) {
-  if (!exchange.route->IsRepeatable())
-    return ScheduleCheck(exchange, exchange.deadline);
   Attempt& attempt = *exchange.attempt;
+  // A worker whose response isn't read can't make progress.
+  if (!exchange.route->IsRepeatable() || attempt.is_paused)
+    return ScheduleCheck(exchange, exchange.deadline);
   const TimePoint suspect_at =
       attempt.last_progress +
       SuspicionTimeout(*exchange.route, attempt.body_started);
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -62,7 +62,8 @@
 
 }  // namespace
 
-RequestTable::RequestTable(ServingState& state) : m_state(state) {}
+RequestTable::RequestTable(ServingState& state)
+    : m_state(state), m_flow(state.options.response_flow) {}
 
 RetryBudget& RequestTable::RetryBudgetFor(const std::string& service) {
   return m_retry_budgets
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -34,6 +34,8 @@
   std::uint64_t aborted = 0;
   // Runs that ended with the connection to their worker.
   std::uint64_t broken_runs = 0;
+  // Responses that were not read further because their callers didn't read.
+  std::uint64_t paused = 0;
   // Parts of prompts that were convicted of crashing workers, were probed
   // again, or were cleared.
   std::uint64_t parts_convicted = 0;
@@ -63,6 +65,12 @@
   void OnResponseBody(TimePoint now,
                       AttemptNumber attempt,
                       std::string_view bytes);
+  // The caller has not read `bytes` of the response passed on to it, and all
+  // callers together `total` bytes.
+  void OnResponseUnsent(TimePoint now,
+                        RequestId id,
+                        std::size_t bytes,
+                        std::size_t total);
   void OnAttemptCompleted(TimePoint now,
                           AttemptNumber attempt,
                           bool ended_by_close);
@@ -103,6 +111,7 @@
   std::size_t open() const { return m_exchanges.size(); }
   std::size_t held() const { return m_held.size(); }
   const ServingMetrics& metrics() const { return m_metrics; }
+  const ResponseFlow& response_flow() const { return m_flow; }
 
  private:
   // A worker that accepts no request rejects it within milliseconds. Two
@@ -162,7 +171,7 @@
   void Hold(TimePoint now, Exchange& exchange, const std::string& reason);
   void SendTo(TimePoint now, Exchange& exchange, const WorkerChoice& choice);
   // Updates the load of the attempt's worker after the attempt has ended.
-  void ReleaseWorker(const Exchange& exchange, const Attempt& attempt);
+  void ReleaseWorker(const Exchange& exchange, Attempt& attempt);
   void CloseAttempt(Exchange& exchange);
   void CancelCurrentAttempt(Exchange& exchange);
   WorkerChoiceInput MakeChoiceInput(const Exchange& exchange) const;
@@ -174,6 +183,13 @@
                               const Exchange& exchange,
                               const UpstreamResponseHead& head);
   void ForwardEvents(TimePoint now, Exchange& exchange, std::string_view bytes);
+  // Passes the part of a plain response on that was held back until its end.
+  void ForwardBuffered(TimePoint now, Exchange& exchange);
+  // Whether the router holds more of the response without passing it on than
+  // it may.
+  bool HoldsTooMuch(const Attempt& attempt, std::size_t limit) const;
+  void RecordHeldBytes(Attempt& attempt, std::size_t bytes);
+  void PauseOrResume(TimePoint now, Exchange& exchange);
   void RecordRejection(TimePoint now,
                        Exchange& exchange,
                        const UpstreamResponseHead& head);
@@ -261,6 +277,9 @@
   // By service.
   std::map<std::string, RetryBudget> m_retry_budgets;
   ServingMetrics m_metrics;
+  ResponseFlow m_flow;
+  // Requests whose current attempt is paused.
+  std::set<RequestId> m_paused;
   std::unordered_map<RequestId, Exchange> m_exchanges;
   std::unordered_map<AttemptNumber, RequestId> m_attempts;
   // Requests queued for their team's quota, by team and in order of arrival.
--- a/source/core/serving/serving_messages.h
+++ b/source/core/serving/serving_messages.h
@@ -42,6 +42,13 @@
   AttemptNumber attempt = 0;
   std::string bytes;
 };
+// What the caller has not read of the response passed on to it, and what all
+// callers have not read of theirs, in bytes.
+struct ResponseUnsent {
+  RequestId id = 0;
+  std::size_t bytes = 0;
+  std::size_t total = 0;
+};
 // The response was received completely.
 struct AttemptCompleted {
   AttemptNumber attempt = 0;
@@ -85,6 +92,7 @@
 
 using ServingEvent = std::variant<RequestArrived,
                                   CallerDisconnected,
+                                  ResponseUnsent,
                                   AttemptHeadReceived,
                                   AttemptBodyReceived,
                                   AttemptCompleted,
@@ -131,6 +139,13 @@
 struct CancelAttempt {
   AttemptNumber attempt = 0;
 };
+// Stops and continues to read the attempt's response; its worker has to wait.
+struct PauseAttempt {
+  AttemptNumber attempt = 0;
+};
+struct ResumeAttempt {
+  AttemptNumber attempt = 0;
+};
 // Closes the idle connections to a worker that has left.
 struct CloseWorkerConnections {
   std::string worker;
@@ -179,6 +194,8 @@
 
 using ServingEffect = std::variant<SendAttempt,
                                    CancelAttempt,
+                                   PauseAttempt,
+                                   ResumeAttempt,
                                    CloseWorkerConnections,
                                    SendResponse,
                                    SendResponseHead,
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -52,6 +52,10 @@
   m_requests.OnCallerDisconnected(now, event.id, event.reason);
 }
 
+void ServingRouter::On(TimePoint now, const ResponseUnsent& event) {
+  m_requests.OnResponseUnsent(now, event.id, event.bytes, event.total);
+}
+
 void ServingRouter::On(TimePoint now, AttemptHeadReceived& event) {
   m_requests.OnResponseHead(now, event.attempt, std::move(event.head));
 }
--- a/source/core/serving/serving_router.h
+++ b/source/core/serving/serving_router.h
@@ -38,6 +38,7 @@
  private:
   void On(TimePoint now, RequestArrived& event);
   void On(TimePoint now, const CallerDisconnected& event);
+  void On(TimePoint now, const ResponseUnsent& event);
   void On(TimePoint now, AttemptHeadReceived& event);
   void On(TimePoint now, const AttemptBodyReceived& event);
   void On(TimePoint now, const AttemptCompleted& event);
--- a/source/core/serving/serving_state.h
+++ b/source/core/serving/serving_state.h
@@ -10,6 +10,7 @@
 
 #include "common/random.h"
 #include "common/time.h"
+#include "core/serving/response_flow.h"
 #include "core/serving/serving_config.h"
 #include "core/serving/serving_fleet.h"
 #include "core/serving/serving_messages.h"
@@ -40,6 +41,8 @@
   // A worker renews its entry in the list once in this time. The entry expires
   // after three times without a renewal.
   Duration worker_heartbeat = std::chrono::milliseconds(1'200);
+  // Limits of the response bytes held for callers.
+  ResponseFlowOptions response_flow = {};
   // New requests are still accepted for this long after a drain begins, until
   // the load balancer has noticed it.
   Duration drain_notice = std::chrono::seconds(3);
--- a/source/frontends/http/http_client.cc
+++ b/source/frontends/http/http_client.cc
@@ -55,6 +55,8 @@
   std::string echo_value;
   std::optional<ResponseParser> parser;
   bool head_delivered = false;
+  std::size_t delivered_bytes = 0;
+  std::size_t max_response_bytes = 0;
   // The response being parsed belongs to an earlier call.
   bool stale_response = false;
   int discarded_responses = 0;
@@ -159,6 +161,8 @@
   connection.echo_value = std::move(call.echo_value);
   connection.parser.reset();
   connection.head_delivered = false;
+  connection.delivered_bytes = 0;
+  connection.max_response_bytes = call.max_response_bytes;
   connection.stale_response = false;
   connection.discarded_responses = 0;
   connection.reused = connection.tcp->established();
@@ -261,9 +265,16 @@
     }
   }
   std::string bytes = parser.TakeBody();
-  if (!connection.stale_response && !bytes.empty())
-    m_on_event(
-        CallBodyReceived{.id = connection.call, .bytes = std::move(bytes)});
+  if (connection.stale_response || bytes.empty())
+    return;
+  connection.delivered_bytes += bytes.size();
+  const bool too_large =
+      connection.max_response_bytes > 0 &&
+      connection.delivered_bytes > connection.max_response_bytes;
+  if (too_large)
+    return FailCall(connection, CallFailure::kTooLarge);
+  m_on_event(
+      CallBodyReceived{.id = connection.call, .bytes = std::move(bytes)});
 }
 
 void HttpClient::CompleteCall(Connection& connection, bool ended_by_close) {
@@ -315,7 +326,9 @@
     if (connection->parser->done() &&
         connection->parser->error() == ParseError::kNone) {
       DeliverResponse(*connection);
-      return CompleteCall(*connection, /*ended_by_close=*/true);
+      if (Find(id) != nullptr)
+        CompleteCall(*connection, /*ended_by_close=*/true);
+      return;
     }
   }
   FailCall(*connection, CallFailure::kReset);
@@ -341,6 +354,20 @@
   CloseConnection(id);
 }
 
+void HttpClient::Handle(const PauseCall& message) {
+  SetReadingPaused(message.id, true);
+}
+
+void HttpClient::Handle(const ResumeCall& message) {
+  SetReadingPaused(message.id, false);
+}
+
+void HttpClient::SetReadingPaused(CallId id, bool paused) {
+  const auto found = m_calls.find(id);
+  if (found != m_calls.end())
+    Find(found->second)->tcp->SetReadingPaused(paused);
+}
+
 void HttpClient::Handle(const CloseIdleConnections& message) {
   const auto found = m_idle.find(message.pool);
   if (found == m_idle.end())
--- a/source/frontends/http/http_client.h
+++ b/source/frontends/http/http_client.h
@@ -38,6 +38,8 @@
   Duration connect_timeout = std::chrono::milliseconds(500);
   // Limit on the duration of the call; Duration::max() for none.
   Duration timeout = Duration::max();
+  // A response with a larger body fails the call; 0 for no limit.
+  std::size_t max_response_bytes = 0;
   // A response whose header field `echo_name` has another value than
   // `echo_value` belongs to an earlier call and is discarded. On a reused
   // connection a response without the field fails the call, since it may belong
@@ -48,18 +50,27 @@
 struct CancelCall {
   CallId id = 0;
 };
+// Stops and continues to read the response of a call. The server must wait.
+struct PauseCall {
+  CallId id = 0;
+};
+struct ResumeCall {
+  CallId id = 0;
+};
 // Closes the idle connections of a pool.
 struct CloseIdleConnections {
   std::string pool;
 };
 
-using ClientMessage = std::variant<StartCall, CancelCall, CloseIdleConnections>;
+using ClientMessage = std::
+    variant<StartCall, CancelCall, PauseCall, ResumeCall, CloseIdleConnections>;
 
 enum class CallFailure {
   kConnect,    // the connection could not be established
   kReset,      // the server ended the connection before its response was whole
   kMalformed,  // the response could not be parsed
   kTimeout,    // the call took too long, or the server acknowledged nothing
+  kTooLarge,   // the response was larger than the call permits
 };
 
 inline constexpr EnumTable kCallFailureNames{std::array{
@@ -67,6 +78,7 @@
     EnumName<CallFailure>{CallFailure::kReset, "reset"},
     EnumName<CallFailure>{CallFailure::kMalformed, "malformed"},
     EnumName<CallFailure>{CallFailure::kTimeout, "timeout"},
+    EnumName<CallFailure>{CallFailure::kTooLarge, "too_large"},
 }};
 
 struct CallHeadReceived {
@@ -117,6 +129,8 @@
 
   void Handle(StartCall call);
   void Handle(const CancelCall& message);
+  void Handle(const PauseCall& message);
+  void Handle(const ResumeCall& message);
   void Handle(const CloseIdleConnections& message);
 
   Connection* AcquireIdle(const StartCall& call);
@@ -132,6 +146,7 @@
   void CompleteCall(Connection& connection, bool ended_by_close);
   void FailCall(Connection& connection, CallFailure failure);
   void ReturnToPool(Connection& connection);
+  void SetReadingPaused(CallId id, bool paused);
   void CloseConnection(ConnectionId id);
   void SetTimer(Connection& connection, TimePoint when);
   Connection* Find(ConnectionId id);
--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -27,6 +27,11 @@
 // A connection with unsent response bytes is closed once its client has read
 // none for this long.
 constexpr Duration kSendTimeout = std::chrono::seconds(10);
+// Changes of the unsent bytes of an exchange that are reported.
+constexpr std::size_t kUnsentReportBytes = 16 << 10;
+// What is read of a connection beyond the request that is being processed.
+constexpr std::size_t kMaxPipelinedBytes = 16 << 10;
+constexpr std::size_t kMaxInputBytes = 64 << 10;
 constexpr TcpKeepaliveOptions kClientKeepalive{
     .user_timeout = kSendTimeout,
     .probe_interval = std::chrono::seconds(5)};
@@ -55,6 +60,10 @@
   ConnectionEnd end = ConnectionEnd::kClosedByClient;
   // Whether on_unanswered_close was called for the connection.
   bool is_reported = false;
+  // Bytes of responses that the client has not read, and those last reported to
+  // the owner.
+  std::size_t unsent_bytes = 0;
+  std::size_t reported_unsent_bytes = 0;
   // When the connection was accepted, bytes were last received, a response was
   // queued to its end, or closing began.
   TimePoint last_progress;
@@ -73,9 +82,11 @@
 HttpServer::HttpServer(EventLoop& loop,
                        const Endpoint& endpoint,
                        const ServerLimits& limits,
-                       ServerHandlers handlers)
+                       ServerHandlers handlers,
+                       const ServerMemory& memory)
     : m_loop(loop),
       m_limits(limits),
+      m_memory(memory),
       m_handlers(std::move(handlers)),
       m_listener(OpenListener(endpoint)),
       m_mailbox(loop, [this](ServerMessage message) {
@@ -121,7 +132,8 @@
                                     [this, id](ConnectionCloseReason) {
                                       Disconnect(
                                           id, ConnectionEnd::kClosedByClient);
-                                    }});
+                                    },
+                                .on_written = [this, id] { OnWritten(id); }});
     m_connections.emplace(id, std::move(connection));
   }
 }
@@ -157,12 +169,6 @@
   return found == m_exchanges.end() ? nullptr : Find(found->second);
 }
 
-bool HttpServer::HasUnsentBytes() const {
-  return std::ranges::any_of(m_connections, [](const auto& entry) {
-    return entry.second->tcp->unsent_bytes() > 0;
-  });
-}
-
 void HttpServer::OnReceived(ConnectionId id) {
   Connection* connection = Find(id);
   if (connection == nullptr)
@@ -177,6 +183,44 @@
     ParseRequest(*connection);
 }
 
+void HttpServer::RecordUnsentBytes(Connection& connection) {
+  const std::size_t unsent = connection.tcp->unsent_bytes();
+  m_unsent_bytes += unsent - connection.unsent_bytes;
+  connection.unsent_bytes = unsent;
+  if (connection.exchange == 0 || !m_handlers.on_unsent_changed)
+    return;
+  const std::size_t reported = connection.reported_unsent_bytes;
+  const std::size_t change =
+      unsent > reported ? unsent - reported : reported - unsent;
+  const bool is_drained = unsent == 0 && reported > 0;
+  if (change < kUnsentReportBytes && !is_drained)
+    return;
+  connection.reported_unsent_bytes = unsent;
+  m_handlers.on_unsent_changed(connection.exchange, unsent, m_unsent_bytes);
+}
+
+void HttpServer::OnWritten(ConnectionId id) {
+  if (Connection* connection = Find(id))
+    RecordUnsentBytes(*connection);
+}
+
+void HttpServer::CloseStalledConnections() {
+  while (m_unsent_bytes > m_memory.max_unsent_bytes) {
+    const TimePoint now = ReadBootClock();
+    Connection* stalled = nullptr;
+    for (const auto& [id, connection] : m_connections) {
+      const bool is_longer = connection->unsent_bytes > 0 &&
+                             (stalled == nullptr || connection->IdleTime(now) >
+                                                        stalled->IdleTime(now));
+      if (is_longer)
+        stalled = connection.get();
+    }
+    if (stalled == nullptr)
+      return;
+    Disconnect(stalled->id, ConnectionEnd::kMemoryLimit);
+  }
+}
+
 void HttpServer::Disconnect(ConnectionId id, ConnectionEnd reason) {
   Connection* connection = Find(id);
   if (connection == nullptr)
@@ -223,6 +267,9 @@
         ParserLimits{.max_header_bytes = connection.limits.max_header_bytes,
                      .max_body_bytes = connection.limits.max_body_bytes});
     connection.continue_sent = false;
+    // Room to find that a header is too large.
+    connection.tcp->set_max_input_bytes(std::max<std::size_t>(
+        kMaxInputBytes, 2 * connection.limits.max_header_bytes));
   }
   RequestParser& parser = *connection.parser;
   parser.Consume(input);
@@ -258,6 +305,7 @@
   connection.head_request = request.head.method == "HEAD";
   connection.exchange = ++m_last_exchange_id;
   m_exchanges.emplace(connection.exchange, connection.id);
+  connection.tcp->set_max_input_bytes(kMaxPipelinedBytes);
   m_handlers.on_request(connection.exchange, std::move(request));
 }
 
@@ -270,6 +318,7 @@
   connection.tcp->input().clear();
   connection.tcp->Send(SerializeResponseHead(status, {}, BodyFraming::kLength,
                                              0, /*keep_alive=*/false));
+  RecordUnsentBytes(connection);
   CloseGracefully(connection, ConnectionEnd::kRequestRejected);
 }
 
@@ -296,7 +345,9 @@
   if (!omit_body)
     response += message.body;
   connection->tcp->Send(response);
+  RecordUnsentBytes(*connection);
   CompleteResponse(*connection);
+  CloseStalledConnections();
 }
 
 void HttpServer::Handle(SendHttpResponseHead message) {
@@ -308,6 +359,7 @@
   connection->tcp->Send(SerializeResponseHead(message.status, message.fields,
                                               BodyFraming::kChunked, 0,
                                               connection->keep_alive));
+  RecordUnsentBytes(*connection);
 }
 
 void HttpServer::Handle(const SendHttpResponseBody& message) {
@@ -315,8 +367,10 @@
   if (connection == nullptr || message.bytes.empty())
     return;
   connection->tcp->Send(SerializeChunk(message.bytes));
-  if (connection->tcp->unsent_bytes() > kMaxUnsentBytes)
+  RecordUnsentBytes(*connection);
+  if (connection->unsent_bytes > kMaxUnsentBytes)
     Disconnect(connection->id, ConnectionEnd::kUnsentLimit);
+  CloseStalledConnections();
 }
 
 void HttpServer::Handle(const EndHttpResponse& message) {
@@ -324,6 +378,7 @@
   if (connection == nullptr)
     return;
   connection->tcp->Send(kLastChunk);
+  RecordUnsentBytes(*connection);
   CompleteResponse(*connection);
 }
 
@@ -394,6 +449,7 @@
 void HttpServer::CompleteResponse(Connection& connection) {
   m_exchanges.erase(connection.exchange);
   connection.exchange = 0;
+  connection.reported_unsent_bytes = 0;
   connection.chunked = false;
   connection.last_progress = ReadBootClock();
   connection.limits = CurrentLimits(connection.last_progress);
@@ -410,6 +466,8 @@
     if (m_shutting_down)
       return CloseWithoutRequest(id, ConnectionEnd::kResponseComplete);
     ParseRequest(*found);
+    if (Connection* open = Find(id))
+      open->tcp->OnInputConsumed();
   });
 }
 
@@ -417,6 +475,7 @@
   const auto found = m_connections.find(id);
   if (found == m_connections.end())
     return;
+  m_unsent_bytes -= found->second->unsent_bytes;
   // One of the connection's handlers may be running, so its destruction is
   // deferred.
   m_loop.Defer(
--- a/source/frontends/http/http_server.h
+++ b/source/frontends/http/http_server.h
@@ -60,6 +60,13 @@
   std::size_t max_connections = 3'000;
 };
 
+// Limits on the bytes that the server holds for all connections together.
+struct ServerMemory {
+  // Responses that their clients have not read. Beyond it, the connections
+  // whose clients have read nothing for the longest time are closed.
+  std::size_t max_unsent_bytes = 32 << 20;
+};
+
 // Closes each connection after its next response.
 struct DrainHttpServer {};
 // Accepts no new connections, closes those without a request, and the others
@@ -85,6 +92,8 @@
   kShutDown,
   // The client doesn't read its response.
   kUnsentLimit,
+  // The same, and the responses of all clients use too much memory.
+  kMemoryLimit,
 };
 
 inline constexpr EnumTable kConnectionEndNames{std::array{
@@ -96,6 +105,7 @@
                             "response_complete"},
     EnumName<ConnectionEnd>{ConnectionEnd::kShutDown, "shut_down"},
     EnumName<ConnectionEnd>{ConnectionEnd::kUnsentLimit, "unsent_limit"},
+    EnumName<ConnectionEnd>{ConnectionEnd::kMemoryLimit, "memory_limit"},
 }};
 
 // A connection that the server closed while a request on it had no response.
@@ -116,6 +126,11 @@
   std::function<void(ExchangeId, ConnectionEnd)> on_disconnected;
   // The server itself refused a request, with this status.
   std::function<void(unsigned status, ParseError)> on_rejected;
+  // `unsent` bytes of the response to an exchange, and `total` bytes of all
+  // responses, wait for their clients. Called when that of the exchange has
+  // changed much, and when it has become zero.
+  std::function<void(ExchangeId, std::size_t unsent, std::size_t total)>
+      on_unsent_changed;
   std::function<void(const UnansweredClose&)> on_unanswered_close;
   // New connections wait, because of the limit or a failure of accept().
   std::function<void(const std::string& reason)> on_accept_paused;
@@ -127,7 +142,8 @@
   HttpServer(EventLoop& loop,
              const Endpoint& endpoint,
              const ServerLimits& limits,
-             ServerHandlers handlers);
+             ServerHandlers handlers,
+             const ServerMemory& memory = {});
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -136,7 +152,9 @@
   std::size_t connection_count() const { return m_connections.size(); }
   // Whether responses are buffered that their clients' sockets don't accept
   // yet.
-  bool HasUnsentBytes() const;
+  bool HasUnsentBytes() const { return m_unsent_bytes > 0; }
+  // See ServerMemory.
+  std::size_t unsent_bytes() const { return m_unsent_bytes; }
   // Connections closed while a request on them had no response, by reason.
   const std::map<ConnectionEnd, std::uint64_t>& unanswered_closes() const {
     return m_unanswered_closes;
@@ -160,6 +178,10 @@
   void ParseRequest(Connection& connection);
   void DispatchRequest(Connection& connection);
   void RejectRequest(Connection& connection, unsigned status, ParseError error);
+  // To be called after output was queued or written.
+  void RecordUnsentBytes(Connection& connection);
+  void OnWritten(ConnectionId id);
+  void CloseStalledConnections();
   void CompleteResponse(Connection& connection);
   // Shuts down the sending side; the connection is removed once the client has
   // closed its side or a time-out has passed.
@@ -193,6 +215,8 @@
 
   EventLoop& m_loop;
   ServerLimits m_limits;
+  ServerMemory m_memory;
+  std::size_t m_unsent_bytes = 0;
   // A lowered idle time-out takes effect once the earlier ones have passed,
   // since clients learn of it later than the server.
   std::vector<EarlierIdleTimeout> m_earlier_idle_timeouts;
--- a/source/frontends/loop/tcp_connection.cc
+++ b/source/frontends/loop/tcp_connection.cc
@@ -7,10 +7,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
 #include <system_error>
+#include <utility>
 
 #include "common/error.h"
 #include "frontends/boot_clock.h"
@@ -21,10 +23,13 @@
 
 constexpr int kListenBacklog = 4'096;
 constexpr int kKeepaliveProbes = 3;
+// Limit on the bytes read before other connections get their turn.
 constexpr std::size_t kReadBufferBytes = 64 << 10;
-// Input buffered while the owner doesn't consume it. Above this limit the
-// socket isn't read until the owner has consumed some.
-constexpr std::size_t kMaxInputBytes = 8 << 20;
+// What the system buffers of a connection that isn't read.
+constexpr int kReceiveBufferBytes = 64 << 10;
+constexpr std::size_t kOutputSegmentBytes = 64 << 10;
+// Buffers up to this size are kept for the next input.
+constexpr std::size_t kKeptInputBytes = 4 << 10;
 
 sockaddr_in ToSocketAddress(const Endpoint& endpoint) {
   sockaddr_in address{};
@@ -94,6 +99,7 @@
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
     throw std::system_error(errno, std::generic_category(), "socket");
+  SetSocketOption(fd, SOL_SOCKET, SO_RCVBUF, kReceiveBufferBytes);
   const int result =
       connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
   if (result != 0 && errno != EINPROGRESS) {
@@ -110,7 +116,8 @@
     *m_destroyed_flag = true;
   if (m_fd < 0)
     return;
-  m_loop.RemoveWatch(m_fd);
+  if (m_is_watched)
+    m_loop.RemoveWatch(m_fd);
   close(m_fd);
 }
 
@@ -119,6 +126,7 @@
   m_fd = fd;
   SetSocketOptions(fd, keepalive);
   m_watched_events = EPOLLIN | EPOLLRDHUP | (m_established ? 0U : EPOLLOUT);
+  m_is_watched = true;
   m_loop.Watch(fd, m_watched_events,
                [this](std::uint32_t events) { OnEvents(events); });
 }
@@ -138,47 +146,75 @@
     m_established = true;
   }
   // The pending error of a socket is reported once, by the next call. Reading
-  // first tells a reset from an orderly end of the input; after a failed write
-  // both look like an end.
-  if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLERR | EPOLLHUP)) != 0)
-    ReadAvailable(/*has_ended=*/(events & EPOLLRDHUP) != 0);
-  if (!destroyed && !m_closed && m_established && (events & EPOLLOUT) != 0)
-    WriteBuffered();
+  // to the end of the input before the next write tells a reset from an orderly
+  // end; after a failed write both look like an end.
+  constexpr std::uint32_t kEnded = EPOLLRDHUP | EPOLLERR | EPOLLHUP;
+  if ((events & (EPOLLIN | kEnded)) != 0 && !m_reading_paused)
+    ReadAvailable();
   if (destroyed)
     return;
+  const bool may_write = (events & kEnded) == 0 || m_reading_paused;
+  if (!m_closed && m_established && (events & EPOLLOUT) != 0 && may_write &&
+      m_unsent_bytes > 0) {
+    WriteBuffered();
+    if (m_handlers.on_written)
+      m_handlers.on_written();
+    if (destroyed)
+      return;
+  }
   m_destroyed_flag = nullptr;
-  if (!m_closed)
+  if (m_closed)
+    return;
+  if ((events & kEnded) == 0 || m_read_closed)
+    return UpdateWatch();
+  if (m_reading_paused) {
+    // The loop would report the end again and again.
+    m_is_watched = false;
+    m_loop.RemoveWatch(m_fd);
+  } else if (IsInputFull()) {
+    ReportClosed(ConnectionCloseReason::kClosed);
+  } else {
     UpdateWatch();
+  }
 }
 
-void TcpConnection::ReadAvailable(bool has_ended) {
+void TcpConnection::ReadAvailable() {
   bool* const destroyed_flag = m_destroyed_flag;
-  bool received = false;
+  if (IsInputFull())
+    return;
   std::array<char, kReadBufferBytes> bytes;
-  ConnectionCloseReason reason = ConnectionCloseReason::kClosed;
-  bool closed = false;
-  while (m_input.size() < kMaxInputBytes) {
-    const ssize_t count = recv(m_fd, bytes.data(), bytes.size(), 0);
-    if (count > 0) {
-      m_input.append(bytes.data(), static_cast<std::size_t>(count));
-      received = true;
-      if (static_cast<std::size_t>(count) < bytes.size() && !has_ended)
-        break;
-      continue;
-    }
-    if (count < 0 && (errno == EAGAIN || errno == EINTR))
-      break;
-    closed = true;
-    reason = ToCloseReason(count < 0 ? errno : m_write_error);
-    m_read_closed = true;
-    break;
+  const ssize_t count =
+      recv(m_fd, bytes.data(),
+           std::min(bytes.size(), m_max_input_bytes - m_input.size()), 0);
+  if (count > 0) {
+    m_input.append(bytes.data(), static_cast<std::size_t>(count));
+    if (m_handlers.on_received)
+      m_handlers.on_received();
+    if (destroyed_flag == nullptr || !*destroyed_flag)
+      ReleaseInputBuffer();
+    return;
   }
-  if (received && m_handlers.on_received)
-    m_handlers.on_received();
-  if ((destroyed_flag != nullptr && *destroyed_flag) || m_closed)
+  if (count < 0 && (errno == EAGAIN || errno == EINTR))
     return;
-  if (closed)
-    ReportClosed(reason);
+  m_read_closed = true;
+  ReportClosed(ToCloseReason(count < 0 ? errno : m_write_error));
+}
+
+void TcpConnection::ReleaseInputBuffer() {
+  if (m_input.empty() && m_input.capacity() > kKeptInputBytes)
+    std::string().swap(m_input);
+}
+
+void TcpConnection::OnInputConsumed() {
+  ReleaseInputBuffer();
+  if (!m_closed)
+    UpdateWatch();
+}
+
+void TcpConnection::SetReadingPaused(bool paused) {
+  m_reading_paused = paused;
+  if (!m_closed)
+    UpdateWatch();
 }
 
 void TcpConnection::TransferPending() {
@@ -201,15 +237,23 @@
 void TcpConnection::Send(std::string_view bytes) {
   if (m_closed || bytes.empty())
     return;
-  if (unsent_bytes() == 0) {
-    m_output.clear();
-    m_output_offset = 0;
+  if (m_established && m_unsent_bytes == 0)
+    bytes.remove_prefix(Write(bytes));
+  AppendOutput(bytes);
+  UpdateWatch();
+}
+
+void TcpConnection::AppendOutput(std::string_view bytes) {
+  m_unsent_bytes += bytes.size();
+  while (!bytes.empty()) {
+    if (m_output.empty() || m_output.back().size() >= kOutputSegmentBytes)
+      m_output.emplace_back();
+    std::string& last = m_output.back();
+    const std::size_t count =
+        std::min(bytes.size(), kOutputSegmentBytes - last.size());
+    last += bytes.substr(0, count);
+    bytes.remove_prefix(count);
   }
-  m_output += bytes;
-  if (m_established && m_output_offset == 0 && m_output.size() == bytes.size())
-    WriteBuffered();
-  if (!m_closed)
-    UpdateWatch();
 }
 
 void TcpConnection::ShutDownSending() {
@@ -220,38 +264,57 @@
   shutdown(m_fd, SHUT_WR);
 }
 
+std::size_t TcpConnection::Write(std::string_view bytes) {
+  if (m_write_error != 0)
+    return bytes.size();
+  const ssize_t count = send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  if (count < 0) {
+    if (errno == EAGAIN || errno == EINTR)
+      return 0;
+    // The failure is reported by the next read, so that Send() never calls a
+    // handler. Output is dropped from now on.
+    m_write_error = errno;
+    return bytes.size();
+  }
+  m_has_sent_bytes = true;
+  m_last_written = ReadBootClock();
+  return static_cast<std::size_t>(count);
+}
+
 void TcpConnection::WriteBuffered() {
-  while (unsent_bytes() > 0) {
-    const ssize_t count = send(m_fd, m_output.data() + m_output_offset,
-                               unsent_bytes(), MSG_NOSIGNAL);
-    if (count < 0) {
-      if (errno == EAGAIN || errno == EINTR)
-        return;
-      // The failure is reported by the next read, so that Send() never calls a
-      // handler.
-      m_write_error = errno;
-      m_output.clear();
-      m_output_offset = 0;
+  while (!m_output.empty()) {
+    const std::string& bytes = m_output.front();
+    const std::size_t count =
+        Write(std::string_view(bytes).substr(m_output_offset));
+    m_output_offset += count;
+    m_unsent_bytes -= count;
+    if (m_output_offset < bytes.size())
       return;
-    }
-    m_has_sent_bytes = true;
-    m_last_written = ReadBootClock();
-    m_output_offset += static_cast<std::size_t>(count);
+    m_output.pop_front();
+    m_output_offset = 0;
   }
-  m_output.clear();
-  m_output_offset = 0;
   if (m_shutdown_requested)
     ShutDownSending();
-  if (m_handlers.on_drained)
-    m_loop.Defer([handler = m_handlers.on_drained] { handler(); });
 }
 
 void TcpConnection::UpdateWatch() {
-  std::uint32_t events = EPOLLRDHUP;
-  if (m_input.size() < kMaxInputBytes && !m_read_closed)
-    events |= EPOLLIN;
-  if (!m_established || unsent_bytes() > 0)
+  std::uint32_t events = 0;
+  if (!m_reading_paused) {
+    events |= EPOLLRDHUP;
+    if (!IsInputFull() && !m_read_closed)
+      events |= EPOLLIN;
+  }
+  if (!m_established || m_unsent_bytes > 0)
     events |= EPOLLOUT;
+  if (!m_is_watched) {
+    if (m_reading_paused)
+      return;
+    m_is_watched = true;
+    m_watched_events = events;
+    m_loop.Watch(m_fd, events,
+                 [this](std::uint32_t occurred) { OnEvents(occurred); });
+    return;
+  }
   if (events == m_watched_events)
     return;
   m_watched_events = events;
@@ -262,7 +325,8 @@
   if (m_closed)
     return;
   m_closed = true;
-  m_loop.RemoveWatch(m_fd);
+  if (std::exchange(m_is_watched, false))
+    m_loop.RemoveWatch(m_fd);
   if (m_handlers.on_closed)
     m_handlers.on_closed(reason);
 }
@@ -273,6 +337,8 @@
   if (fd < 0)
     throw Error(Step::kListen, name, std::strerror(errno));
   SetSocketOption(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+  // Accepted sockets inherit it.
+  SetSocketOption(fd, SOL_SOCKET, SO_RCVBUF, kReceiveBufferBytes);
   const sockaddr_in address = ToSocketAddress(endpoint);
   const bool bound = bind(fd, reinterpret_cast<const sockaddr*>(&address),
                           sizeof(address)) == 0;
--- a/source/frontends/loop/tcp_connection.h
+++ b/source/frontends/loop/tcp_connection.h
@@ -1,9 +1,11 @@
 // A non-blocking TCP connection on an event loop. Output that the socket
-// doesn't accept yet is buffered; input collects in a buffer that the owner
-// consumes.
+// doesn't accept yet is buffered; input collects in a bounded buffer that the
+// owner consumes. The socket isn't read while that buffer is full or reading is
+// paused, so that the peer has to wait.
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -49,8 +51,9 @@
     // The connection has closed or failed. Called at most once, and never from
     // inside Send().
     std::function<void(ConnectionCloseReason)> on_closed;
-    // All buffered output was passed to the socket.
-    std::function<void()> on_drained;
+    // Buffered output was passed to the socket. Never called from inside
+    // Send().
+    std::function<void()> on_written;
   };
 
   // Takes ownership of an accepted socket.
@@ -76,7 +79,14 @@
   void ShutDownSending();
 
   std::string& input() { return m_input; }
-  std::size_t unsent_bytes() const { return m_output.size() - m_output_offset; }
+  // Limit on the input that is buffered for the owner.
+  void set_max_input_bytes(std::size_t bytes) { m_max_input_bytes = bytes; }
+  // To be called after input was consumed outside of on_received.
+  void OnInputConsumed();
+  // While reading is paused, the end of the connection isn't reported either.
+  void SetReadingPaused(bool paused);
+
+  std::size_t unsent_bytes() const { return m_unsent_bytes; }
   // Bytes that the socket has received and that were not read yet.
   std::size_t unread_bytes() const;
   bool established() const { return m_established; }
@@ -93,9 +103,13 @@
  private:
   void StartWatching(int fd, const TcpKeepaliveOptions& keepalive);
   void OnEvents(std::uint32_t events);
-  // `has_ended` if the socket's input has an end, which is then read, too.
-  void ReadAvailable(bool has_ended);
+  void ReadAvailable();
+  bool IsInputFull() const { return m_input.size() >= m_max_input_bytes; }
+  void ReleaseInputBuffer();
+  // Passes bytes to the socket. Returns how many it accepted.
+  std::size_t Write(std::string_view bytes);
   void WriteBuffered();
+  void AppendOutput(std::string_view bytes);
   void UpdateWatch();
   void ReportClosed(ConnectionCloseReason reason);
 
@@ -111,10 +125,16 @@
   int m_write_error = 0;
   bool m_shutdown_requested = false;
   bool m_shutdown_done = false;
+  bool m_reading_paused = false;
+  bool m_is_watched = false;
   std::uint32_t m_watched_events = 0;
+  std::size_t m_max_input_bytes = 128 << 10;
   std::string m_input;
-  std::string m_output;
+  // Output that waits for the socket, in segments.
+  std::deque<std::string> m_output;
+  // Bytes of the first segment that were sent.
   std::size_t m_output_offset = 0;
+  std::size_t m_unsent_bytes = 0;
   // Points to a flag on the stack of OnEvents() that the destructor sets, since
   // a handler may destroy the connection.
   bool* m_destroyed_flag = nullptr;
--- a/source/frontends/serving/caller_frontend.h
+++ b/source/frontends/serving/caller_frontend.h
@@ -40,37 +40,44 @@
     std::function<void(LogRecord)> log;
   };
 
-  CallerFrontend(EventLoop& loop, const Endpoint& endpoint, Callbacks callbacks)
+  CallerFrontend(EventLoop& loop,
+                 const Endpoint& endpoint,
+                 Callbacks callbacks,
+                 const ServerMemory& memory)
       : m_callbacks(std::move(callbacks)),
-        m_server(loop,
-                 endpoint,
-                 ServerLimits{},
-                 {.on_request =
-                      [this](ExchangeId id, HttpMessage message) {
-                        HandleRequest(id, std::move(message));
-                      },
-                  .on_disconnected =
-                      [this](ExchangeId id, ConnectionEnd end) {
-                        m_callbacks.event(CallerDisconnected{
-                            .id = id,
-                            .reason = end == ConnectionEnd::kUnsentLimit
-                                          ? DisconnectReason::kNotReading
-                                          : DisconnectReason::kClosedByCaller});
-                      },
-                  .on_rejected =
-                      [this](unsigned status, ParseError error) {
-                        LogRejected(status,
-                                    std::string(kParseErrorNames.Name(error)));
-                      },
-                  .on_unanswered_close =
-                      [this](const UnansweredClose& close) {
-                        LogUnansweredClose(close);
-                      },
-                  .on_accept_paused =
-                      [this](const std::string& reason) {
-                        m_callbacks.log({.event = LogEvent::kAcceptPaused,
-                                         .fields = {{"why", reason}}});
-                      }}) {}
+        m_server(
+            loop,
+            endpoint,
+            ServerLimits{},
+            {.on_request =
+                 [this](ExchangeId id, HttpMessage message) {
+                   HandleRequest(id, std::move(message));
+                 },
+             .on_disconnected =
+                 [this](ExchangeId id, ConnectionEnd end) {
+                   m_callbacks.event(CallerDisconnected{
+                       .id = id, .reason = ToDisconnectReason(end)});
+                 },
+             .on_rejected =
+                 [this](unsigned status, ParseError error) {
+                   LogRejected(status,
+                               std::string(kParseErrorNames.Name(error)));
+                 },
+             .on_unsent_changed =
+                 [this](ExchangeId id, std::size_t unsent, std::size_t total) {
+                   m_callbacks.event(ResponseUnsent{
+                       .id = id, .bytes = unsent, .total = total});
+                 },
+             .on_unanswered_close =
+                 [this](const UnansweredClose& close) {
+                   LogUnansweredClose(close);
+                 },
+             .on_accept_paused =
+                 [this](const std::string& reason) {
+                   m_callbacks.log({.event = LogEvent::kAcceptPaused,
+                                    .fields = {{"why", reason}}});
+                 }},
+            memory) {}
 
   void Execute(SendResponse effect) {
     m_server.Post(SendHttpResponse{.id = effect.id,
@@ -113,6 +120,7 @@
   }
   std::size_t connection_count() const { return m_server.connection_count(); }
   bool HasUnsentBytes() const { return m_server.HasUnsentBytes(); }
+  std::size_t unsent_bytes() const { return m_server.unsent_bytes(); }
 
   // From now on, each response closes its connection.
   void Drain() { m_server.Post(DrainHttpServer{}); }
@@ -120,6 +128,13 @@
   void Finish() { m_server.Post(ShutDownHttpServer{}); }
 
  private:
+  static DisconnectReason ToDisconnectReason(ConnectionEnd end) {
+    const bool is_not_reading = end == ConnectionEnd::kUnsentLimit ||
+                                end == ConnectionEnd::kMemoryLimit;
+    return is_not_reading ? DisconnectReason::kNotReading
+                          : DisconnectReason::kClosedByCaller;
+  }
+
   void HandleRequest(ExchangeId id, HttpMessage message) {
     auto decoded = Codec::DecodeRequest(id, std::move(message));
     if (auto* request = std::get_if<ServingRequest>(&decoded)) {
--- a/source/frontends/serving/engine_task.h
+++ b/source/frontends/serving/engine_task.h
@@ -29,6 +29,8 @@
 // counts as down.
 inline constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
 inline constexpr Duration kOrderTimeout = std::chrono::milliseconds(600);
+// A report lists the engine's models, adapters and runs.
+inline constexpr std::size_t kMaxEngineReplyBytes = 8 << 20;
 
 template <EngineProtocol Codec>
 class EngineTask {
@@ -55,7 +57,8 @@
                             .address = m_endpoint,
                             .pool = "reports",
                             .request = Codec::EncodeReportRequest(m_endpoint),
-                            .timeout = kReportTimeout});
+                            .timeout = kReportTimeout,
+                            .max_response_bytes = kMaxEngineReplyBytes});
     m_report_call_id = m_last_call_id;
   }
   void Execute(const SendEngineOrder& effect) {
@@ -68,7 +71,8 @@
         // An order that is lost with a stale connection costs a second, so each
         // order gets a new connection.
         .max_idle = Duration::zero(),
-        .timeout = kOrderTimeout});
+        .timeout = kOrderTimeout,
+        .max_response_bytes = kMaxEngineReplyBytes});
     m_order_call_id = m_last_call_id;
   }
 
--- a/source/frontends/serving/serving_metrics.cc
+++ b/source/frontends/serving/serving_metrics.cc
@@ -51,6 +51,7 @@
   writer.Add("cancelled_total", metrics.cancelled);
   writer.Add("aborted_total", metrics.aborted);
   writer.Add("broken_runs_total", metrics.broken_runs);
+  writer.Add("paused_responses_total", metrics.paused);
   writer.Add("prompt_parts_convicted_total", metrics.parts_convicted);
   writer.Add("prompt_part_probes_total", metrics.part_probes);
   writer.Add("prompt_parts_cleared_total", metrics.parts_cleared);
@@ -73,6 +74,9 @@
   writer.Add("store_calls_total", counters.store_calls);
   writer.Add("upstream_connections_total", counters.upstream_connections);
   writer.Add("caller_connections", counters.caller_connections);
+  writer.Add("unsent_response_bytes", counters.unsent_response_bytes);
+  writer.Add("held_response_bytes",
+             router.requests().response_flow().held_bytes());
   for (const auto& [reason, count] : counters.unanswered_closes) {
     writer.Add(
         "unanswered_closes_total", count,
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -13,6 +13,7 @@
 
 #include "common/hashing.h"
 #include "core/engine/engine_controller.h"
+#include "core/serving/memory_plan.h"
 #include "core/serving/serving_router.h"
 #include "core/store/rejected_keys.h"
 #include "frontends/log_task.h"
@@ -84,6 +85,7 @@
                      .incarnation = m_incarnation,
                      .endpoint = m_settings.peer_endpoint}};
   }
+  MemoryPlan Memory() const { return PlanMemory(m_settings.memory_mb); }
   std::uint64_t RandomSeed() const {
     return StableHash(m_settings.vm, m_incarnation);
   }
@@ -213,10 +215,12 @@
             ParseEndpoint(settings.http_endpoint),
             {.event = MakeEventCallback(),
              .log =
-                 [this](LogRecord record) { m_log.Post(std::move(record)); }}),
+                 [this](LogRecord record) { m_log.Post(std::move(record)); }},
+            {.max_unsent_bytes = this->Memory().max_unsent_bytes}),
         m_upstreams(m_loop, MakeEventCallback()),
         m_store(m_loop,
                 settings.store_endpoint,
+                this->Memory().store_reply_bytes,
                 [this](const std::string& prefix, StoreUpdate update) {
                   std::visit([&](auto& value) { Handle(prefix, value); },
                              update);
@@ -282,6 +286,7 @@
         .retry_reserve = static_cast<double>(m_settings.retry_reserve),
         .quota_slack = m_settings.quota_slack,
         .worker_heartbeat = milliseconds(m_settings.worker_heartbeat_ms),
+        .response_flow = {.pool_bytes = this->Memory().response_pool_bytes},
         .drain_limit = DrainLimit()};
   }
 
@@ -297,6 +302,8 @@
 
   void Dispatch(const SendAttempt& effect) { m_upstreams.Execute(effect); }
   void Dispatch(const CancelAttempt& effect) { m_upstreams.Execute(effect); }
+  void Dispatch(const PauseAttempt& effect) { m_upstreams.Execute(effect); }
+  void Dispatch(const ResumeAttempt& effect) { m_upstreams.Execute(effect); }
   void Dispatch(const CloseWorkerConnections& effect) {
     m_upstreams.Execute(effect);
   }
@@ -457,6 +464,8 @@
   std::uint64_t upstream_connections = 0;
   std::size_t caller_connections = 0;
   std::map<ConnectionEnd, std::uint64_t> unanswered_closes;
+  // Bytes of responses that callers have not read.
+  std::size_t unsent_response_bytes = 0;
 };
 
 // The metrics in the Prometheus text format.
@@ -472,7 +481,8 @@
       m_router, {.store_calls = m_store.calls_sent(),
                  .upstream_connections = m_upstreams.connections_opened(),
                  .caller_connections = m_frontend.connection_count(),
-                 .unanswered_closes = m_frontend.unanswered_closes()});
+                 .unanswered_closes = m_frontend.unanswered_closes(),
+                 .unsent_response_bytes = m_frontend.unsent_bytes()});
 }
 
 template <ServingProtocol Protocol>
@@ -517,6 +527,7 @@
                       }}),
         m_store(m_loop,
                 settings.store_endpoint,
+                this->Memory().store_reply_bytes,
                 [this](const std::string& prefix, StoreUpdate update) {
                   std::visit([&](auto& value) { Handle(prefix, value); },
                              update);
--- a/source/frontends/serving/serving_settings.cc
+++ b/source/frontends/serving/serving_settings.cc
@@ -42,6 +42,7 @@
           .quota_slack = reader.ReadLimit(kQuotaSlack),
           .weight_store_loads = reader.ReadNumber(kWeightStoreLoads),
           .grace_s = reader.ReadLimit(kGraceS),
+          .memory_mb = reader.ReadLimit(kMemoryMb),
           .log_decisions = reader.ReadFlag(kLogDecisions)};
 }
 
@@ -81,6 +82,7 @@
       MakeNamedValue(kWeightStoreLoads,
                      std::to_string(values.weight_store_loads)),
       MakeNamedValue(kGraceS, std::to_string(values.grace_s)),
+      MakeNamedValue(kMemoryMb, std::to_string(values.memory_mb)),
       MakeNamedValue(kLogDecisions, values.log_decisions ? "true" : "false")};
 }
 
--- a/source/frontends/serving/serving_settings.h
+++ b/source/frontends/serving/serving_settings.h
@@ -86,6 +86,9 @@
 inline constexpr LimitSetting kGraceS{
     "limits", "grace_s", 8,
     1,        3600,      "time from SIGTERM until the process is killed"};
+inline constexpr LimitSetting kMemoryMb{
+    "limits", "memory_mb", 256,
+    16,       1'048'576,   "memory that the process may use, in MiB"};
 inline constexpr FlagSetting kLogDecisions{
     "log", "decisions", true, false,
     "a line for each decision about a request"};
@@ -114,6 +117,7 @@
   std::int64_t quota_slack = 0;
   std::int64_t weight_store_loads = 0;
   std::int64_t grace_s = 0;
+  std::int64_t memory_mb = 0;
   bool log_decisions = true;
   // The limits whose values in the file could not be used as they are, as
   // comma-separated "section.key: 'given' used as 1".
--- a/source/frontends/serving/store_task.h
+++ b/source/frontends/serving/store_task.h
@@ -73,9 +73,14 @@
       std::function<void(const std::string& prefix, StoreUpdate)>;
   using WriteCallback = std::function<void(StoreWriteReply)>;
 
-  StoreTask(EventLoop& loop, std::string endpoint, UpdateCallback callback)
+  // A reply with more than `max_reply_bytes` fails its call.
+  StoreTask(EventLoop& loop,
+            std::string endpoint,
+            std::size_t max_reply_bytes,
+            UpdateCallback callback)
       : m_loop(loop),
         m_endpoint(std::move(endpoint)),
+        m_max_reply_bytes(max_reply_bytes),
         m_update_callback(std::move(callback)),
         m_client(loop, kStoreClientOptions, [this](ClientEvent event) {
           std::visit([this](auto& value) { Handle(std::move(value)); }, event);
@@ -126,7 +131,8 @@
                             .pool = pool,
                             .request = std::move(request),
                             .connect_timeout = kStoreConnectTimeout,
-                            .timeout = timeout});
+                            .timeout = timeout,
+                            .max_response_bytes = m_max_reply_bytes});
   }
 
   void TickWatcher(KeyWatcher& watcher) {
@@ -283,6 +289,7 @@
 
   EventLoop& m_loop;
   std::string m_endpoint;
+  std::size_t m_max_reply_bytes;
   UpdateCallback m_update_callback;
   HttpClient m_client;
   std::vector<std::unique_ptr<KeyWatcher>> m_watchers;
--- a/source/frontends/serving/upstream_task.h
+++ b/source/frontends/serving/upstream_task.h
@@ -48,6 +48,12 @@
   void Execute(const CancelAttempt& effect) {
     m_client.Post(CancelCall{.id = effect.attempt});
   }
+  void Execute(const PauseAttempt& effect) {
+    m_client.Post(PauseCall{.id = effect.attempt});
+  }
+  void Execute(const ResumeAttempt& effect) {
+    m_client.Post(ResumeCall{.id = effect.attempt});
+  }
   void Execute(const CloseWorkerConnections& effect) {
     m_client.Post(CloseIdleConnections{.pool = effect.worker});
   }
--- a/source/unit_tests/frontends/http/http_client_test.cc
+++ b/source/unit_tests/frontends/http/http_client_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <ctime>
 #include <string>
 
 #include "unit_tests/frontends/http/http_client_fixture.h"
@@ -285,6 +286,72 @@
   EXPECT_EQ(outcome.body, "the whole body");
 }
 
+// The processor time of this process in seconds.
+double ProcessorTime() {
+  return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+// How the server goes on while the call is paused.
+enum class WhilePaused { kWrites, kCloses, kResets };
+
+// A worker sent a body without end, as fast as it could: all of it was kept.
+TEST_F(HttpClientTest, PausedCallLeavesTheResponseToTheServer) {
+  const std::string body(32 << 20, 'x');
+  for (const WhilePaused action :
+       {WhilePaused::kWrites, WhilePaused::kCloses, WhilePaused::kResets}) {
+    std::size_t connection = 0;
+    m_server.OnRequest([&](const RawServer::Request& request) {
+      connection = request.connection;
+      m_server.Write(connection, "HTTP/1.1 200 OK\r\nEcho: " + IdOf(request) +
+                                     "\r\n\r\n" + body);
+    });
+    const StartCall call = MakeCall();
+    const CallId id = call.id;
+    m_client.Post(call);
+    ASSERT_TRUE(RunUntil([&] { return !m_outcomes[id].body.empty(); }));
+    m_client.Post(PauseCall{.id = id});
+    RunFor(milliseconds(20));
+    const std::size_t received = m_outcomes[id].body.size();
+    if (action == WhilePaused::kCloses)
+      m_server.Close(connection);
+    else if (action == WhilePaused::kResets)
+      m_server.Abort(connection);
+    const double processor_time = ProcessorTime();
+    RunFor(milliseconds(300));
+    EXPECT_LT(ProcessorTime() - processor_time, 0.2);
+    EXPECT_EQ(m_outcomes[id].body.size(), received);
+    EXPECT_LT(received, body.size() / 2);
+    EXPECT_FALSE(HasEnded(id));
+    m_client.Post(ResumeCall{.id = id});
+    if (action == WhilePaused::kWrites) {
+      ASSERT_TRUE(
+          RunUntil([&] { return m_outcomes[id].body.size() == body.size(); }));
+      m_server.Close(connection);
+    }
+    ASSERT_TRUE(RunUntil([&] { return HasEnded(id); }));
+    EXPECT_EQ(m_outcomes[id].completed, action != WhilePaused::kResets);
+    if (m_outcomes[id].completed) {
+      EXPECT_TRUE(m_outcomes[id].body == body);
+    }
+  }
+}
+
+TEST_F(HttpClientTest, ResponseBeyondTheLimitOfItsCallFails) {
+  m_server.OnRequest([&](const RawServer::Request& request) {
+    m_server.Write(request.connection,
+                   Success(IdOf(request), std::string(100'000, 'x')));
+  });
+  StartCall call = MakeCall();
+  call.max_response_bytes = 100'000;
+  EXPECT_TRUE(Perform(std::move(call)).completed);
+  call = MakeCall();
+  call.max_response_bytes = 99'999;
+  const Outcome outcome = Perform(std::move(call));
+  ASSERT_TRUE(outcome.failed);
+  EXPECT_EQ(outcome.failed->failure, CallFailure::kTooLarge);
+  EXPECT_LT(outcome.body.size(), 100'000U);
+}
+
 // A worker that stops in the middle of its response, at any byte, and closes.
 TEST_F(HttpClientTest, ResponseCutAtAnyByteIsNotComplete) {
   const std::string head = "HTTP/1.1 200 OK\r\nEcho: 1\r\nSignature: s\r\n";
--- a/source/unit_tests/frontends/http/http_fixture.h
+++ b/source/unit_tests/frontends/http/http_fixture.h
@@ -12,9 +12,11 @@
 #include <array>
 #include <cerrno>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -60,6 +62,12 @@
   void Send(const std::string& bytes) {
     send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
+  // Sends what the socket accepts and returns how much that is.
+  std::size_t TrySend(std::string_view bytes) {
+    const ssize_t count =
+        send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return count > 0 ? static_cast<std::size_t>(count) : 0;
+  }
   // Everything received so far.
   const std::string& Received() {
     std::array<char, 4'096> bytes;
@@ -113,22 +121,30 @@
   }
 
   void Serve(ServerLimits limits,
-             std::function<void(ExchangeId, HttpMessage)> request) {
+             std::function<void(ExchangeId, HttpMessage)> request,
+             const ServerMemory& memory = {}) {
     m_server = std::make_unique<HttpServer>(
         m_loop, m_endpoint, limits,
-        ServerHandlers{.on_request = std::move(request),
-                       .on_disconnected =
-                           [this](ExchangeId, ConnectionEnd end) {
-                             m_disconnects.push_back(end);
-                           },
-                       .on_unanswered_close =
-                           [this](const UnansweredClose& close) {
-                             m_unanswered_closes.push_back(close);
-                           },
-                       .on_accept_paused =
-                           [this](const std::string& reason) {
-                             m_accept_pauses.push_back(reason);
-                           }});
+        ServerHandlers{
+            .on_request = std::move(request),
+            .on_disconnected =
+                [this](ExchangeId, ConnectionEnd end) {
+                  m_disconnects.push_back(end);
+                },
+            .on_unsent_changed =
+                [this](ExchangeId id, std::size_t unsent, std::size_t total) {
+                  m_unsent[id] = unsent;
+                  m_total_unsent = total;
+                },
+            .on_unanswered_close =
+                [this](const UnansweredClose& close) {
+                  m_unanswered_closes.push_back(close);
+                },
+            .on_accept_paused =
+                [this](const std::string& reason) {
+                  m_accept_pauses.push_back(reason);
+                }},
+        memory);
   }
 
   EventLoop m_loop;
@@ -137,6 +153,8 @@
   std::vector<ConnectionEnd> m_disconnects;
   std::vector<UnansweredClose> m_unanswered_closes;
   std::vector<std::string> m_accept_pauses;
+  std::map<ExchangeId, std::size_t> m_unsent;
+  std::size_t m_total_unsent = 0;
 };
 
 }  // namespace boragepick
--- a/source/unit_tests/frontends/http/raw_server.h
+++ b/source/unit_tests/frontends/http/raw_server.h
@@ -91,6 +91,11 @@
   void ShutDownSending(std::size_t connection) {
     shutdown(m_connections[connection].fd, SHUT_WR);
   }
+  // Resets the connection at once, without what is not written yet.
+  void Abort(std::size_t connection) {
+    m_connections[connection].output.clear();
+    Reset(connection);
+  }
   void Reset(std::size_t connection) {
     const linger abort{.l_onoff = 1, .l_linger = 0};
     setsockopt(m_connections[connection].fd, SOL_SOCKET, SO_LINGER, &abort,
--- a/source/unit_tests/frontends/serving/store_task_test.cc
+++ b/source/unit_tests/frontends/serving/store_task_test.cc
@@ -55,6 +55,7 @@
       : m_server(m_loop),
         m_store(m_loop,
                 m_server.address(),
+                kMaxReplyBytes,
                 [this](const std::string&, StoreUpdate update) {
                   m_updates.push_back(std::move(update));
                 }) {
@@ -83,6 +84,8 @@
         }));
   }
 
+  static constexpr std::size_t kMaxReplyBytes = 1 << 20;
+
   EventLoop m_loop;
   RawServer m_server;
   std::vector<std::string> m_calls;
