Limit the size of replies to a daemon's own calls

An engine whose inventory had no end filled its agent's memory until the call's time-out (operators' report of endless bytes).

Cause: CallHttp let libsoup collect a reply of any size.

--- a/source/frontends/soup_call.cc
+++ b/source/frontends/soup_call.cc
@@ -7,13 +7,21 @@
 
 namespace {
 
+constexpr gsize kReadBufferBytes = 64 << 10;
+
 struct PendingCall {
   SoupMessage* message = nullptr;
   GCancellable* cancellable = nullptr;
   GSource* timeout = nullptr;
+  GInputStream* stream = nullptr;
+  std::size_t max_reply_bytes = 0;
+  HttpReply reply;
   HttpReplyHandler handler;
 
   ~PendingCall() {
+    // Ends the connection if the reply was not read to its end.
+    g_cancellable_cancel(cancellable);
+    g_clear_object(&stream);
     g_source_destroy(timeout);
     g_source_unref(timeout);
     g_object_unref(cancellable);
@@ -26,26 +34,54 @@
   return G_SOURCE_REMOVE;
 }
 
-void OnReply(GObject* session, GAsyncResult* result, gpointer data) {
-  const std::unique_ptr<PendingCall> call(static_cast<PendingCall*>(data));
+void FailCall(PendingCall& call, GError* error) {
+  call.reply.not_sent = IsNotSentError(error);
+  call.reply.detail = error->message;
+  g_error_free(error);
+  call.handler(std::move(call.reply));
+}
+
+void OnReplyBytes(GObject* stream, GAsyncResult* result, gpointer data);
+
+void ReadReply(std::unique_ptr<PendingCall> call) {
+  GInputStream* stream = call->stream;
+  GCancellable* cancellable = call->cancellable;
+  g_input_stream_read_bytes_async(stream, kReadBufferBytes, G_PRIORITY_DEFAULT,
+                                  cancellable, OnReplyBytes, call.release());
+}
+
+void OnReplyBytes(GObject* stream, GAsyncResult* result, gpointer data) {
+  std::unique_ptr<PendingCall> call(static_cast<PendingCall*>(data));
   GError* error = nullptr;
   GBytes* bytes =
-      soup_session_send_and_read_finish(SOUP_SESSION(session), result, &error);
-  HttpReply reply;
-  if (bytes != nullptr) {
-    gsize size = 0;
-    const auto* body = static_cast<const char*>(g_bytes_get_data(bytes, &size));
-    reply.received = true;
-    reply.status = soup_message_get_status(call->message);
-    if (size > 0)
-      reply.body.assign(body, size);
-    g_bytes_unref(bytes);
+      g_input_stream_read_bytes_finish(G_INPUT_STREAM(stream), result, &error);
+  if (bytes == nullptr)
+    return FailCall(*call, error);
+  gsize size = 0;
+  const auto* part = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+  if (size > 0)
+    call->reply.body.append(part, size);
+  g_bytes_unref(bytes);
+  if (call->reply.body.size() > call->max_reply_bytes) {
+    call->reply.body.clear();
+    call->reply.detail = "the reply is too large";
+  } else if (size > 0) {
+    return ReadReply(std::move(call));
   } else {
-    reply.not_sent = IsNotSentError(error);
-    reply.detail = error->message;
-    g_error_free(error);
+    call->reply.received = true;
   }
-  call->handler(std::move(reply));
+  call->handler(std::move(call->reply));
+}
+
+void OnReplyHead(GObject* session, GAsyncResult* result, gpointer data) {
+  std::unique_ptr<PendingCall> call(static_cast<PendingCall*>(data));
+  GError* error = nullptr;
+  call->stream =
+      soup_session_send_finish(SOUP_SESSION(session), result, &error);
+  if (call->stream == nullptr)
+    return FailCall(*call, error);
+  call->reply.status = soup_message_get_status(call->message);
+  ReadReply(std::move(call));
 }
 
 }  // namespace
@@ -85,11 +121,12 @@
       new PendingCall{.message = message,
                       .cancellable = g_cancellable_new(),
                       .timeout = g_timeout_source_new(request.timeout_ms),
+                      .max_reply_bytes = request.max_reply_bytes,
                       .handler = std::move(handler)};
   g_source_set_callback(call->timeout, OnTimeout, call, nullptr);
   g_source_attach(call->timeout, g_main_context_get_thread_default());
-  soup_session_send_and_read_async(session, message, G_PRIORITY_DEFAULT,
-                                   call->cancellable, OnReply, call);
+  soup_session_send_async(session, message, G_PRIORITY_DEFAULT,
+                          call->cancellable, OnReplyHead, call);
 }
 
 }  // namespace boragepick
--- a/source/frontends/soup_call.h
+++ b/source/frontends/soup_call.h
@@ -33,6 +33,8 @@
   std::string content_type = "application/json";
   std::string body;
   unsigned timeout_ms = 1000;
+  // A larger reply fails the call.
+  std::size_t max_reply_bytes = 32 << 20;
   // Allows libsoup to reuse a kept-alive connection, on which it may send the
   // request a second time.
   bool idempotent = false;
