--- a/source/core/agent/agent.cc
+++ b/source/core/agent/agent.cc
@@ -42,7 +42,8 @@
 template <typename Message>
 void Agent::OnPeer(TimePoint now, const PeerSender& from, Message message) {
   if constexpr (std::is_same_v<Message, RunRequest> ||
-                std::is_same_v<Message, CancelRun>) {
+                std::is_same_v<Message, CancelRun> ||
+                std::is_same_v<Message, RunCredit>) {
     m_runs.Handle(now, from, std::move(message));
   } else if constexpr (std::is_same_v<Message, FeedFreshness>) {
     m_state.feed.HandleFresh(now, from, message);
--- a/source/core/agent/agent_messages.h
+++ b/source/core/agent/agent_messages.h
@@ -90,6 +90,12 @@
 struct CancelUpstreamRun {
   RunNumber run = 0;
 };
+// Permits to read the response up to `response_limit` bytes in all; see
+// RunRequest.
+struct ExtendUpstreamRun {
+  RunNumber run = 0;
+  std::uint64_t response_limit = 0;
+};
 
 enum class OrderKind { kLoadModel, kUnloadModel, kLoadAdapter, kUnloadAdapter };
 
@@ -118,6 +124,7 @@
                                  ReconnectPeer,
                                  StartRun,
                                  CancelUpstreamRun,
+                                 ExtendUpstreamRun,
                                  SendOrder,
                                  RequestInventory,
                                  OperatorReplied,
--- a/source/core/agent/agent_state.h
+++ b/source/core/agent/agent_state.h
@@ -26,6 +26,8 @@
   std::uint32_t slots = 16;
   // Most requests that may wait at the agent.
   std::uint32_t max_waiting = 256;
+  // Limit on the bodies of all requests at the agent, in bytes.
+  std::size_t max_request_bytes = 128 << 20;
   // A started request is cancelled if the upstream sends nothing for this long.
   Duration progress_timeout = std::chrono::seconds(20);
   Duration drain_grace = std::chrono::seconds(2);
--- a/source/core/agent/run_scheduler.cc
+++ b/source/core/agent/run_scheduler.cc
@@ -31,6 +31,8 @@
     return "the agent is leaving";
   if (m_waiting.size() + m_queue.Size() >= m_state.options.max_waiting)
     return "the agent's request queue is full";
+  if (m_request_bytes + request.body.size() > m_state.options.max_request_bytes)
+    return "the agent's memory for requests is used up";
   if (request.model.empty())
     return "";
   if (!m_state.view.Resolve(request.model))
@@ -68,6 +70,7 @@
   run.deadline = now + request.remaining_time;
   run.last_progress = now;
   run.request = std::move(request);
+  m_request_bytes += run.request.body.size();
   m_numbers[key] = number;
   if (!reason.empty()) {
     End(now, number, RunOutcome::kNotRun, reason);
@@ -94,6 +97,24 @@
   Dispatch(now);
 }
 
+void RunScheduler::Handle(TimePoint now,
+                          const PeerSender& from,
+                          const RunCredit& credit) {
+  const auto found = m_numbers.find(
+      {.router = from.vm, .incarnation = from.incarnation, .id = credit.id});
+  if (found == m_numbers.end())
+    return;
+  Run& run = *Find(found->second);
+  // Credits may arrive late or twice.
+  if (credit.response_limit <= run.request.response_limit)
+    return;
+  run.request.response_limit = credit.response_limit;
+  // The upstream's silence counts from here, since it was not read before.
+  run.last_progress = now;
+  m_state.Emit(ExtendUpstreamRun{.run = found->second,
+                                 .response_limit = credit.response_limit});
+}
+
 // --- Start
 // ----------------------------------------------------------------------------------------
 
@@ -221,6 +242,7 @@
   if (run == nullptr)
     return;
   run->last_progress = now;
+  run->sent_bytes += bytes.bytes.size();
   SendToRouter(now, *run,
                RunChunk{.id = run->request.id,
                         .sequence = run->chunks++,
@@ -298,6 +320,7 @@
   m_numbers.erase(run.key);
   if (end != RunOutcome::kNotRun)
     RecordEnded(now, run.key);
+  m_request_bytes -= run.request.body.size();
   Run ended = std::move(run);
   m_runs.erase(number);
   SendToRouter(now, ended,
@@ -323,7 +346,7 @@
       late.push_back(number);
     const bool timed_out =
         now - run.last_progress >= m_state.options.progress_timeout;
-    if (run.stage == RunStage::kRunning && timed_out)
+    if (run.stage == RunStage::kRunning && timed_out && !run.AwaitsCredit())
       silent.push_back(number);
     if (now - run.last_sent >= kProgressPeriod)
       SendToRouter(now, run, RunProgress{.id = run.request.id});
--- a/source/core/agent/run_scheduler.h
+++ b/source/core/agent/run_scheduler.h
@@ -48,6 +48,7 @@
 
   void Handle(TimePoint now, const PeerSender& from, RunRequest request);
   void Handle(TimePoint now, const PeerSender& from, const CancelRun& cancel);
+  void Handle(TimePoint now, const PeerSender& from, const RunCredit& credit);
   void Handle(TimePoint now, const UpstreamHead& head);
   void Handle(TimePoint now, UpstreamBytes bytes);
   void Handle(TimePoint now, const UpstreamEnded& ended);
@@ -85,8 +86,14 @@
     TimePoint last_sent;
     TimePoint last_progress;
     std::uint64_t chunks = 0;
+    std::uint64_t sent_bytes = 0;
     bool in_use = false;
     std::string detail;
+
+    // The router must permit more before the response is read further.
+    bool AwaitsCredit() const {
+      return request.response_limit > 0 && sent_bytes >= request.response_limit;
+    }
   };
 
   // Returns an empty string if the request is accepted.
@@ -121,6 +128,8 @@
   std::set<RunNumber> m_waiting;
   RunNumber m_last_number = 0;
   std::uint32_t m_running = 0;
+  // Bytes of the bodies of all requests.
+  std::size_t m_request_bytes = 0;
   // A suspect is a request that may crash the engine. It runs alone.
   bool m_suspect_running = false;
   // The suspect that waits until no other request runs.
--- a/source/core/peer_messages.h
+++ b/source/core/peer_messages.h
@@ -58,6 +58,17 @@
   std::uint64_t resume_after = 0;
   // The request may have crashed an engine and must run alone.
   bool suspect = false;
+  // Bytes of the response that the agent may send before a RunCredit permits
+  // more; 0 for no limit.
+  std::uint64_t response_limit = 0;
+};
+
+// Router to agent: the caller has read a part of the response, of which the
+// agent may send `response_limit` bytes in all. Repeated in reply to
+// RunProgress.
+struct RunCredit {
+  AttemptId id;
+  std::uint64_t response_limit = 0;
 };
 
 struct CancelRun {
@@ -198,7 +209,8 @@
                                  SlotRequest,
                                  SlotGrant,
                                  LoadRequest,
-                                 EngineUpdate>;
+                                 EngineUpdate,
+                                 RunCredit>;
 
 // Event of the state machines: a message from a peer was received.
 struct PeerMessageReceived {
--- a/source/core/router/pending_request.h
+++ b/source/core/router/pending_request.h
@@ -61,6 +61,10 @@
   bool acknowledged = false;
   bool resent = false;
   std::uint64_t next_chunk = 0;
+  // Bytes of the response that were received, and those that the agent may
+  // send in all.
+  std::uint64_t received_bytes = 0;
+  std::uint64_t response_limit = 0;
   bool cold_start = false;
   // Agents that have failed the request.
   std::set<std::string> failed_agents;
@@ -73,6 +77,12 @@
   TimePoint first_byte = kNever;
   std::string body;
   EventStreamParser event_parser;
+  // What is held of `body` or of an incomplete event.
+  std::size_t held_bytes = 0;
+  // Bytes of a streamed response that were passed on, and those of them that
+  // the caller's connection has accepted.
+  std::uint64_t passed_bytes = 0;
+  std::uint64_t written_bytes = 0;
 
   // Idempotency claim; only for requests that are not repeatable.
   std::uint64_t claim_token = 0;
--- a/source/core/router/request_scheduler.cc
+++ b/source/core/router/request_scheduler.cc
@@ -327,6 +327,7 @@
 }
 
 void RequestScheduler::Erase(PendingRequest& pending) {
+  RecordHeldBytes(pending, 0);
   if (pending.trial_number != 0) {
     SendTrialSlotRequest(pending, true);
     m_trials.erase(pending.trial_number);
--- a/source/core/router/request_scheduler.h
+++ b/source/core/router/request_scheduler.h
@@ -56,7 +56,7 @@
   static constexpr std::size_t kMaxBodyBytes = 8 << 20;
 
   RequestScheduler(RouterState& state, AgentTable& agents)
-      : m_state(state), m_agents(agents) {}
+      : m_state(state), m_agents(agents), m_flow(state.options.response_flow) {}
 
   void HandleCallerRequest(TimePoint now, CallerRequest request);
   void HandleCallerDisconnect(TimePoint now, RequestId id);
@@ -67,6 +67,7 @@
   void Handle(TimePoint now, const PeerSender& from, RunHead message);
   void Handle(TimePoint now, const PeerSender& from, RunChunk message);
   void Handle(TimePoint now, const PeerSender& from, const RunEnded& message);
+  void Handle(const CallerResponseWritten& event);
   void Handle(TimePoint now, const IdempotencyVerdict& verdict);
   void Handle(TimePoint now, const IdempotencyOutcomeStored& stored);
   void Handle(TimePoint now, const SlotGrant& grant);
@@ -135,6 +136,13 @@
                    PendingRequest& pending,
                    const std::string& crash);
   void CancelAttempt(PendingRequest& pending);
+  void RecordHeldBytes(PendingRequest& pending, std::size_t bytes);
+  // Whether more is held of a response without passing it on than `limit`, or
+  // than permitted while memory is short.
+  bool HoldsTooMuch(const PendingRequest& pending, std::size_t limit) const;
+  // Permits the agent to send more, as far as the caller has read.
+  void ExtendCredit(PendingRequest& pending);
+  void SendCredit(const PendingRequest& pending);
   void WaitForAgent(TimePoint now, PendingRequest& pending, TimePoint until);
   void CheckSilence(TimePoint now, PendingRequest& pending);
   void CheckTimeouts(TimePoint now);
@@ -158,6 +166,7 @@
   Quarantine m_quarantine;
   RetryBudget m_retry_budget;
   SchedulerMetrics m_metrics;
+  ResponseFlow m_flow;
   std::unordered_map<RequestId, PendingRequest> m_pending;
   std::map<std::uint64_t, RequestId> m_claims;
   std::uint64_t m_last_token = 0;
--- a/source/core/router/request_scheduler_attempts.cc
+++ b/source/core/router/request_scheduler_attempts.cc
@@ -51,6 +51,8 @@
   pending.acknowledged = false;
   pending.resent = false;
   pending.next_chunk = 0;
+  pending.received_bytes = 0;
+  pending.response_limit = m_flow.Window();
   pending.cold_start = pending.cold_start || (!pending.served.model.empty() &&
                                               !choice->chosen.resident);
   m_agents.RecordSent(choice->vm);
@@ -85,7 +87,8 @@
       .cost = pending.cost,
       .remaining_time = std::max(pending.deadline - now, Duration::zero()),
       .resume_after = pending.event_parser.tokens(),
-      .suspect = pending.trial_number != 0};
+      .suspect = pending.trial_number != 0,
+      .response_limit = pending.response_limit};
   m_state.Emit(SendToEndpoint{.endpoint = pending.agent_endpoint,
                               .message = std::move(run)});
 }
@@ -188,6 +191,9 @@
   }
   pending->acknowledged = true;
   pending->last_message = now;
+  // The last credit may have been lost.
+  if (pending->received_bytes > 0)
+    SendCredit(*pending);
 }
 
 void RequestScheduler::Handle(TimePoint now,
@@ -218,15 +224,28 @@
   if (pending->first_byte == kNever)
     pending->first_byte = now;
   const bool streamed = pending->request.stream && pending->head.status == 200;
+  pending->received_bytes += message.bytes.size();
   if (!streamed) {
     pending->body += message.bytes;
-    if (pending->body.size() > kMaxBodyBytes) {
+    RecordHeldBytes(*pending, pending->body.size());
+    if (HoldsTooMuch(*pending, kMaxBodyBytes)) {
       CancelAttempt(*pending);
       HandleAttemptFailure(now, *pending, "the response is too large");
+      return;
     }
+    ExtendCredit(*pending);
     return;
   }
   std::string events = pending->event_parser.Append(message.bytes);
+  RecordHeldBytes(*pending, pending->event_parser.partial_bytes());
+  if (HoldsTooMuch(*pending, EventStreamParser::kMaxEventSize)) {
+    CancelAttempt(*pending);
+    HandleAttemptFailure(now, *pending, "an event is too large");
+    return;
+  }
+  if (!pending->abandoned)
+    pending->passed_bytes += events.size();
+  ExtendCredit(*pending);
   if (events.empty() || pending->abandoned)
     return;
   if (!pending->head_sent) {
@@ -308,6 +327,7 @@
   pending.failed_agents.insert(pending.agent_vm);
   pending.event_parser.DiscardPartialEvent();
   pending.body.clear();
+  RecordHeldBytes(pending, 0);
   if (!pending.repeatable) {
     // The refusal must agree with the outcome that retries will find. Leaving
     // kRunning makes Refuse store the outcome, too.
@@ -349,6 +369,53 @@
   Dispatch(now, pending);
 }
 
+// --- Flow control ---
+
+void RequestScheduler::RecordHeldBytes(PendingRequest& pending,
+                                       std::size_t bytes) {
+  m_flow.RecordBuffered(pending.held_bytes, bytes);
+  pending.held_bytes = bytes;
+}
+
+bool RequestScheduler::HoldsTooMuch(const PendingRequest& pending,
+                                    std::size_t limit) const {
+  return pending.held_bytes > limit ||
+         (m_flow.IsMemoryShort() && m_flow.MustPause(pending.held_bytes));
+}
+
+void RequestScheduler::Handle(const CallerResponseWritten& event) {
+  m_flow.RecordUnsent(event.total_unsent);
+  PendingRequest* pending = Find(event.id);
+  if (pending == nullptr)
+    return;
+  pending->written_bytes = std::max(pending->written_bytes, event.written);
+  if (pending->stage == RequestStage::kRunning)
+    ExtendCredit(*pending);
+}
+
+void RequestScheduler::ExtendCredit(PendingRequest& pending) {
+  const std::uint64_t unsent =
+      pending.passed_bytes -
+      std::min(pending.passed_bytes, pending.written_bytes);
+  const std::uint64_t window = m_flow.Window();
+  if (unsent >= window)
+    return;
+  const std::uint64_t limit = pending.received_bytes + window - unsent;
+  // Few messages are enough for a caller that reads.
+  if (limit < pending.response_limit + window / 2)
+    return;
+  pending.response_limit = limit;
+  SendCredit(pending);
+}
+
+void RequestScheduler::SendCredit(const PendingRequest& pending) {
+  const AttemptId id{.request = pending.request.id, .attempt = pending.attempt};
+  m_state.Emit(SendToEndpoint{
+      .endpoint = pending.agent_endpoint,
+      .message =
+          RunCredit{.id = id, .response_limit = pending.response_limit}});
+}
+
 void RequestScheduler::CancelAttempt(PendingRequest& pending) {
   const AttemptId id{.request = pending.request.id, .attempt = pending.attempt};
   m_state.Emit(SendToEndpoint{.endpoint = pending.agent_endpoint,
--- a/source/core/router/router.cc
+++ b/source/core/router/router.cc
@@ -52,6 +52,10 @@
   m_requests.HandleCallerRequest(now, std::move(event.request));
 }
 
+void Router::On(TimePoint /*now*/, const CallerResponseWritten& event) {
+  m_requests.Handle(event);
+}
+
 void Router::On(TimePoint now, const CallerConnectionClosed& event) {
   m_requests.HandleCallerDisconnect(now, event.id);
 }
--- a/source/core/router/router.h
+++ b/source/core/router/router.h
@@ -38,6 +38,7 @@
  private:
   void On(TimePoint now, CallerRequestReceived event);
   void On(TimePoint now, const CallerConnectionClosed& event);
+  void On(TimePoint now, const CallerResponseWritten& event);
   void On(TimePoint now, PeerMessageReceived event);
   void On(TimePoint now, const OperatorRequestReceived& event);
   void On(TimePoint now, const RecordWritten& event);
--- a/source/core/router/router_messages.h
+++ b/source/core/router/router_messages.h
@@ -26,6 +26,13 @@
 struct CallerConnectionClosed {
   RequestId id = 0;
 };
+// Bytes of the response that the caller's connection has accepted so far, and
+// bytes that wait for all callers.
+struct CallerResponseWritten {
+  RequestId id = 0;
+  std::uint64_t written = 0;
+  std::size_t total_unsent = 0;
+};
 struct OperatorRequestReceived {
   OperatorRequest request;
 };
@@ -65,6 +72,7 @@
 
 using RouterEvent = std::variant<CallerRequestReceived,
                                  CallerConnectionClosed,
+                                 CallerResponseWritten,
                                  PeerMessageReceived,
                                  OperatorRequestReceived,
                                  RecordWritten,
--- a/source/core/router/router_state.h
+++ b/source/core/router/router_state.h
@@ -14,6 +14,7 @@
 #include "core/quota/quota_manager.h"
 #include "core/roster/roster.h"
 #include "core/router/router_messages.h"
+#include "core/scheduling/response_flow.h"
 
 namespace boragepick {
 
@@ -24,6 +25,8 @@
   std::string endpoint;
   std::vector<std::string> seeds;
   std::uint64_t random_seed = 1;
+  // Limits of the response bytes held for callers.
+  ResponseFlowOptions response_flow = {};
   // Time to keep serving after a drain request, until the load balancer has
   // noticed.
   Duration drain_grace = std::chrono::seconds(2);
--- a/source/core/scheduling/event_stream_parser.h
+++ b/source/core/scheduling/event_stream_parser.h
@@ -23,7 +23,7 @@
   // Tokens of the response: complete events except the last one.
   std::uint64_t tokens() const { return m_tokens; }
   bool finished() const { return m_finished; }
-  bool overflowed() const { return m_partial.size() > kMaxEventSize; }
+  std::size_t partial_bytes() const { return m_partial.size(); }
 
  private:
   void CountEvents(std::string_view events);
--- a/source/core/scheduling/memory_plan.h
+++ b/source/core/scheduling/memory_plan.h
@@ -1,5 +1,5 @@
-// How a gateway or controller divides the memory of its VM. What isn't named
-// here is left to the program itself, its connections and the allocator.
+// How a process divides the memory that it may use. What isn't named here is
+// left to the program itself, its connections and the allocator.
 #pragma once
 
 #include <cstddef>
@@ -14,6 +14,8 @@
   // wait, above the second one the slowest callers are disconnected.
   std::size_t response_pool_bytes = 0;
   std::size_t max_unsent_bytes = 0;
+  // Bodies of requests in a process that holds each several times.
+  std::size_t copied_request_bytes = 0;
   // A reply of the key-value service.
   std::size_t store_reply_bytes = 0;
 };
@@ -23,6 +25,7 @@
   return {.request_bytes = bytes / 2,
           .response_pool_bytes = bytes / 8,
           .max_unsent_bytes = bytes / 4,
+          .copied_request_bytes = bytes / 8,
           .store_reply_bytes = bytes / 8};
 }
 
--- a/source/core/scheduling/response_flow.h
+++ b/source/core/scheduling/response_flow.h
@@ -38,12 +38,13 @@
   bool MustPause(std::size_t held) const { return held >= Window(); }
   bool MayResume(std::size_t held) const { return held <= Window() / 2; }
 
- private:
+  // What one response may hold.
   std::size_t Window() const {
     return IsMemoryShort() ? m_options.min_window_bytes
                            : m_options.window_bytes;
   }
 
+ private:
   ResponseFlowOptions m_options;
   std::size_t m_buffered_bytes = 0;
   std::size_t m_unsent_bytes = 0;
--- a/source/core/serving/serving_state.h
+++ b/source/core/serving/serving_state.h
@@ -10,7 +10,7 @@
 
 #include "common/random.h"
 #include "common/time.h"
-#include "core/serving/response_flow.h"
+#include "core/scheduling/response_flow.h"
 #include "core/serving/serving_config.h"
 #include "core/serving/serving_fleet.h"
 #include "core/serving/serving_messages.h"
--- a/source/frontends/http_frontend.cc
+++ b/source/frontends/http_frontend.cc
@@ -1,10 +1,13 @@
 #include "frontends/http_frontend.h"
 
 #include <algorithm>
+#include <limits>
 #include <string_view>
+#include <utility>
 
 #include "common/error.h"
 #include "common/hashing.h"
+#include "frontends/boot_clock.h"
 #include "frontends/operator_codec.h"
 
 namespace boragepick {
@@ -13,7 +16,10 @@
 
 constexpr const char* kJson = "application/json";
 constexpr const char* kText = "text/plain";
-constexpr const char* kReceivedBytes = "boragepick-received-bytes";
+// In place of the bytes of a request whose connection was closed.
+constexpr std::size_t kClosedRequest = std::numeric_limits<std::size_t>::max();
+// The router learns of what callers have read in steps of this size.
+constexpr std::uint64_t kReportBytes = 4 << 10;
 
 std::string GetHeader(SoupServerMessage* message, const char* name) {
   SoupMessageHeaders* headers =
@@ -63,6 +69,7 @@
   if (size > 0)
     http_request.body.assign(data, size);
   g_bytes_unref(bytes);
+  soup_message_body_truncate(body);
   return http_request;
 }
 
@@ -118,27 +125,57 @@
             EncodeRefusal({.message = "the body is too large"}));
     return;
   }
+  const bool fits =
+      frontend->m_total_request_bytes + static_cast<std::size_t>(length) <=
+      frontend->m_options.max_request_bytes;
+  if (!fits) {
+    RespondRefusal(message, {.code = RefusalCode::kNoCapacity,
+                             .message = "the memory for requests is used up",
+                             .retry_after = std::chrono::seconds(1)});
+    return;
+  }
   g_signal_connect(message, "got-chunk", G_CALLBACK(OnGotChunk), self);
+  g_signal_connect(message, "finished", G_CALLBACK(OnRequestFinished), self);
 }
 
 void HttpFrontend::OnGotChunk(SoupServerMessage* message,
                               GBytes* chunk,
                               gpointer self) {
   auto* frontend = static_cast<HttpFrontend*>(self);
-  const gsize before =
-      GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(message), kReceivedBytes));
-  const gsize received = before + g_bytes_get_size(chunk);
-  g_object_set_data(G_OBJECT(message), kReceivedBytes,
-                    GSIZE_TO_POINTER(received));
-  if (received <= frontend->m_options.max_body_bytes)
+  const auto found = frontend->m_request_bytes.try_emplace(message, 0).first;
+  // The rest of a request whose connection was closed.
+  if (found->second == kClosedRequest)
     return;
+  const std::size_t size = g_bytes_get_size(chunk);
+  found->second += size;
+  frontend->m_total_request_bytes += size;
   // A body without Content-Length passes OnHeaders(), so the connection is
-  // closed as soon as the body exceeds the limit.
+  // closed as soon as a limit is exceeded.
+  if (found->second <= frontend->m_options.max_body_bytes &&
+      frontend->m_total_request_bytes <= frontend->m_options.max_request_bytes)
+    return;
+  frontend->m_total_request_bytes -=
+      std::exchange(found->second, kClosedRequest);
+  CloseConnection(message);
+}
+
+void HttpFrontend::CloseConnection(SoupServerMessage* message) {
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket != nullptr)
     g_socket_shutdown(socket, TRUE, TRUE, nullptr);
 }
 
+void HttpFrontend::OnRequestFinished(SoupServerMessage* message,
+                                     gpointer self) {
+  auto* frontend = static_cast<HttpFrontend*>(self);
+  const auto found = frontend->m_request_bytes.find(message);
+  if (found == frontend->m_request_bytes.end())
+    return;
+  if (found->second != kClosedRequest)
+    frontend->m_total_request_bytes -= found->second;
+  frontend->m_request_bytes.erase(found);
+}
+
 void HttpFrontend::OnRequest(SoupServer* /*server*/,
                              SoupServerMessage* message,
                              const char* path,
@@ -230,6 +267,10 @@
   m_exchange_ids[message] = id;
   ++m_unsent_responses;
   g_signal_connect(message, "finished", G_CALLBACK(OnFinished), this);
+  if (from_caller) {
+    m_outputs[message] = {.id = id, .last_written = ReadBootClock()};
+    g_signal_connect(message, "wrote-body-data", G_CALLBACK(OnWrote), this);
+  }
   soup_server_message_pause(message);
   return id;
 }
@@ -237,6 +278,12 @@
 void HttpFrontend::OnFinished(SoupServerMessage* message, gpointer self) {
   auto* frontend = static_cast<HttpFrontend*>(self);
   --frontend->m_unsent_responses;
+  const auto output = frontend->m_outputs.find(message);
+  if (output != frontend->m_outputs.end()) {
+    if (!output->second.is_closed)
+      frontend->m_unsent_bytes -= output->second.unsent();
+    frontend->m_outputs.erase(output);
+  }
   if (frontend->m_finishing && frontend->m_unsent_responses == 0)
     frontend->m_callbacks.on_responses_sent();
   const auto found = frontend->m_exchange_ids.find(message);
@@ -249,6 +296,44 @@
     frontend->m_callbacks.on_caller_disconnected(id);
 }
 
+void HttpFrontend::OnWrote(SoupServerMessage* message,
+                           unsigned bytes,
+                           gpointer self) {
+  auto* frontend = static_cast<HttpFrontend*>(self);
+  const auto found = frontend->m_outputs.find(message);
+  if (found == frontend->m_outputs.end() || found->second.is_closed)
+    return;
+  Output& output = found->second;
+  const std::uint64_t written = std::min<std::uint64_t>(bytes, output.unsent());
+  output.written += written;
+  output.last_written = ReadBootClock();
+  frontend->m_unsent_bytes -= written;
+  if (output.written - output.reported < kReportBytes)
+    return;
+  output.reported = output.written;
+  frontend->m_callbacks.on_response_written(
+      {.id = output.id,
+       .written = output.written,
+       .total_unsent = frontend->m_unsent_bytes});
+}
+
+void HttpFrontend::CloseStalledConnections() {
+  while (m_unsent_bytes > m_options.max_unsent_bytes) {
+    const auto stalled =
+        std::ranges::max_element(m_outputs, {}, [](const auto& entry) {
+          const Output& output = entry.second;
+          const bool waits = !output.is_closed && output.unsent() > 0;
+          return waits ? kNever - output.last_written : Duration::zero();
+        });
+    Output& output = stalled->second;
+    if (output.is_closed || output.unsent() == 0)
+      return;
+    output.is_closed = true;
+    m_unsent_bytes -= output.unsent();
+    CloseConnection(stalled->first);
+  }
+}
+
 HttpFrontend::Exchange* HttpFrontend::FindExchange(std::uint64_t id) {
   const auto found = m_exchanges.find(id);
   return found == m_exchanges.end() ? nullptr : &found->second;
@@ -297,8 +382,14 @@
   soup_message_body_append(
       soup_server_message_get_response_body(exchange->message),
       SOUP_MEMORY_COPY, message.bytes.data(), message.bytes.size());
+  const auto output = m_outputs.find(exchange->message);
+  if (output != m_outputs.end() && !output->second.is_closed) {
+    output->second.queued += message.bytes.size();
+    m_unsent_bytes += message.bytes.size();
+  }
   if (exchange->stream)
     soup_server_message_unpause(exchange->message);
+  CloseStalledConnections();
 }
 
 void HttpFrontend::On(const CallerResponseEnd& message) {
--- a/source/frontends/http_frontend.h
+++ b/source/frontends/http_frontend.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <variant>
 
+#include "common/time.h"
 #include "core/router/router_messages.h"
 #include "frontends/caller_codec.h"
 #include "frontends/glib_task.h"
@@ -38,6 +39,7 @@
 struct HttpFrontendCallbacks {
   std::function<void(CallerRequest)> on_caller_request;
   std::function<void(RequestId)> on_caller_disconnected;
+  std::function<void(CallerResponseWritten)> on_response_written;
   std::function<void(OperatorRequest)> on_operator_request;
   std::function<void()> on_responses_sent;
 };
@@ -45,6 +47,11 @@
 struct HttpFrontendOptions {
   Endpoint endpoint;
   std::size_t max_body_bytes = 0;
+  // Limits for all connections together: bodies of requests, which are rejected
+  // beyond it, and responses that were not read. Beyond the latter, the
+  // connection that has read nothing for the longest time is closed.
+  std::size_t max_request_bytes = 32 << 20;
+  std::size_t max_unsent_bytes = 64 << 20;
   CallerDefaults defaults;
   std::string operator_token_sha256;
   // Prefix of the writer tokens. A write with an unknown outcome succeeded if
@@ -71,6 +78,18 @@
     bool from_caller = false;
   };
 
+  // A response on its way to the caller.
+  struct Output {
+    RequestId id = 0;
+    std::uint64_t queued = 0;
+    std::uint64_t written = 0;
+    // `written` as last reported.
+    std::uint64_t reported = 0;
+    TimePoint last_written;
+    bool is_closed = false;
+    std::uint64_t unsent() const { return queued - written; }
+  };
+
   static void OnHeaders(SoupServer* server,
                         SoupServerMessage* message,
                         const char* path,
@@ -85,6 +104,13 @@
                         GHashTable* query,
                         gpointer self);
   static void OnFinished(SoupServerMessage* message, gpointer self);
+  static void OnWrote(SoupServerMessage* message,
+                      unsigned bytes,
+                      gpointer self);
+  // Closes the connection of a message without a further response.
+  static void CloseConnection(SoupServerMessage* message);
+  void CloseStalledConnections();
+  static void OnRequestFinished(SoupServerMessage* message, gpointer self);
 
   void Serve(SoupServerMessage* message, const std::string& path);
   void ServeCaller(SoupServerMessage* message, CallerHttpRequest http_request);
@@ -112,6 +138,11 @@
   // Responses that are not completely sent yet.
   std::size_t m_unsent_responses = 0;
   bool m_finishing = false;
+  std::unordered_map<SoupServerMessage*, Output> m_outputs;
+  std::size_t m_unsent_bytes = 0;
+  // Bodies received, by message, and their sum.
+  std::unordered_map<SoupServerMessage*, std::size_t> m_request_bytes;
+  std::size_t m_total_request_bytes = 0;
   std::unordered_map<std::uint64_t, Exchange> m_exchanges;
   std::unordered_map<SoupServerMessage*, std::uint64_t> m_exchange_ids;
 };
--- a/source/frontends/process.cc
+++ b/source/frontends/process.cc
@@ -10,6 +10,7 @@
 #include "core/agent/agent.h"
 #include "core/placement/planner.h"
 #include "core/router/router.h"
+#include "core/scheduling/memory_plan.h"
 #include "frontends/http_frontend.h"
 #include "frontends/log_task.h"
 #include "frontends/machine_task.h"
@@ -54,13 +55,16 @@
 
 HttpFrontendOptions MakeFrontendOptions(const DaemonSettings& settings,
                                         Incarnation incarnation) {
-  return {.endpoint = ParseEndpoint(settings.http_endpoint),
-          .max_body_bytes = static_cast<std::size_t>(settings.max_body_bytes),
-          .defaults = {.timeout = std::chrono::milliseconds(
-                           settings.default_timeout_ms)},
-          .operator_token_sha256 = settings.operator_token_sha256,
-          .writer_token_prefix =
-              settings.vm + "/" + std::to_string(incarnation) + "/"};
+  return {
+      .endpoint = ParseEndpoint(settings.http_endpoint),
+      .max_body_bytes = static_cast<std::size_t>(settings.max_body_bytes),
+      .max_request_bytes = PlanMemory(settings.memory_mb).copied_request_bytes,
+      .max_unsent_bytes = PlanMemory(settings.memory_mb).max_unsent_bytes,
+      .defaults = {.timeout =
+                       std::chrono::milliseconds(settings.default_timeout_ms)},
+      .operator_token_sha256 = settings.operator_token_sha256,
+      .writer_token_prefix =
+          settings.vm + "/" + std::to_string(incarnation) + "/"};
 }
 
 PeerOptions MakePeerOptions(const DaemonSettings& settings,
@@ -212,6 +216,8 @@
                  .endpoint = settings.peer_endpoint,
                  .seeds = settings.seeds,
                  .random_seed = incarnation,
+                 .response_flow = {.pool_bytes = PlanMemory(settings.memory_mb)
+                                                     .response_pool_bytes},
                  .drain_grace = milliseconds(settings.drain_grace_ms)});
   Daemon<Router, PlatformMessage> daemon(settings, incarnation, router);
   daemon.role_task().Start<PlatformClient>(
@@ -227,7 +233,9 @@
                     post(CallerRequestReceived{std::move(request)});
                   },
               .on_caller_disconnected =
-                  [post](RequestId id) { post(CallerConnectionClosed{id}); }});
+                  [post](RequestId id) { post(CallerConnectionClosed{id}); },
+              .on_response_written =
+                  [post](const CallerResponseWritten& event) { post(event); }});
 }
 
 void RunAgent(const DaemonSettings& settings) {
@@ -243,6 +251,7 @@
        .memory_mb = static_cast<std::uint64_t>(settings.upstream_memory_mb),
        .slots = static_cast<std::uint32_t>(settings.upstream_slots),
        .max_waiting = static_cast<std::uint32_t>(settings.upstream_max_waiting),
+       .max_request_bytes = PlanMemory(settings.memory_mb).copied_request_bytes,
        .progress_timeout = milliseconds(settings.upstream_progress_timeout_ms),
        .drain_grace = milliseconds(settings.drain_grace_ms)});
   Daemon<Agent, UpstreamMessage> daemon(settings, incarnation, agent);
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -13,7 +13,7 @@
 
 #include "common/hashing.h"
 #include "core/engine/engine_controller.h"
-#include "core/serving/memory_plan.h"
+#include "core/scheduling/memory_plan.h"
 #include "core/serving/serving_router.h"
 #include "core/store/rejected_keys.h"
 #include "frontends/log_task.h"
--- a/source/frontends/settings.cc
+++ b/source/frontends/settings.cc
@@ -65,6 +65,7 @@
           .upstream_progress_timeout_ms =
               reader.ReadNumber(kUpstreamProgressTimeoutMs),
           .load_timeout_ms = reader.ReadNumber(kLoadTimeoutMs),
+          .memory_mb = reader.ReadNumber(kMemoryMb),
           .drain_grace_ms = reader.ReadNumber(kDrainGraceMs),
           .log_file = reader.ReadText(kLogFile),
           .log_decisions = reader.ReadFlag(kLogDecisions)};
--- a/source/frontends/settings.h
+++ b/source/frontends/settings.h
@@ -126,6 +126,9 @@
     100,
     86'400'000,
     "time after which the outcome of an unanswered load order is unknown"};
+inline constexpr NumberSetting kMemoryMb{
+    "limits", "memory_mb", 256,
+    16,       1 << 20,     "memory that the process may use, in MiB"};
 inline constexpr NumberSetting kDrainGraceMs{
     "drain", "grace_ms",
     2'000,   0,
@@ -161,6 +164,7 @@
   std::int64_t upstream_max_waiting = 0;
   std::int64_t upstream_progress_timeout_ms = 0;
   std::int64_t load_timeout_ms = 0;
+  std::int64_t memory_mb = 0;
   std::int64_t drain_grace_ms = 0;
   std::string log_file;
   bool log_decisions = true;
--- a/source/frontends/upstream_client.cc
+++ b/source/frontends/upstream_client.cc
@@ -1,6 +1,8 @@
 #include "frontends/upstream_client.h"
 
+#include <algorithm>
 #include <memory>
+#include <utility>
 
 #include "common/error.h"
 #include "frontends/soup_call.h"
@@ -13,6 +15,8 @@
 
 constexpr gsize kReadBufferBytes = 32 << 10;
 constexpr unsigned kExtraConnections = 32;
+// An inventory lists the engine's models and adapters.
+constexpr std::size_t kMaxUpstreamReplyBytes = 8 << 20;
 // A connection that was idle for longer may be dead without notice.
 constexpr unsigned kIdleTimeoutSeconds = 5;
 constexpr std::uint32_t kStatusOk = 200;
@@ -99,7 +103,8 @@
   auto* run = new Run{.client = this,
                       .number = message.run,
                       .message = soup_message,
-                      .cancellable = g_cancellable_new()};
+                      .cancellable = g_cancellable_new(),
+                      .response_limit = request.response_limit};
   m_runs[message.run] = run;
   soup_session_send_async(m_session, soup_message, G_PRIORITY_DEFAULT,
                           run->cancellable, OnHead, run);
@@ -165,9 +170,17 @@
     run->client->CompleteRun(run, UpstreamEnd::kComplete, "");
     return;
   }
+  run->received += text.size();
   run->client->m_on_event(
       UpstreamBytes{.run = run->number, .bytes = std::move(text)});
-  run->client->ReadNextChunk(run);
+  run->client->ContinueReading(run);
+}
+
+void UpstreamClient::ContinueReading(Run* run) {
+  run->is_paused =
+      run->response_limit > 0 && run->received >= run->response_limit;
+  if (!run->is_paused)
+    ReadNextChunk(run);
 }
 
 void UpstreamClient::CompleteRun(Run* run,
@@ -183,8 +196,23 @@
 
 void UpstreamClient::On(const CancelUpstreamRun& message) {
   const auto found = m_runs.find(message.run);
-  if (found != m_runs.end())
-    g_cancellable_cancel(found->second->cancellable);
+  if (found == m_runs.end())
+    return;
+  Run* run = found->second;
+  g_cancellable_cancel(run->cancellable);
+  // The next read reports the cancellation.
+  if (std::exchange(run->is_paused, false))
+    ReadNextChunk(run);
+}
+
+void UpstreamClient::On(const ExtendUpstreamRun& message) {
+  const auto found = m_runs.find(message.run);
+  if (found == m_runs.end())
+    return;
+  Run* run = found->second;
+  run->response_limit = std::max(run->response_limit, message.response_limit);
+  if (run->is_paused)
+    ContinueReading(run);
 }
 
 // --- Orders ---
@@ -202,7 +230,8 @@
       m_session,
       {.url = m_options.url + path,
        .body = ToJson(order),
-       .timeout_ms = m_options.load_timeout_ms},
+       .timeout_ms = m_options.load_timeout_ms,
+       .max_reply_bytes = kMaxUpstreamReplyBytes},
       [this, fence = message.fence](const HttpReply& reply) {
         m_on_event(OrderAnswered{
             .fence = fence,
@@ -216,7 +245,8 @@
   CallHttp(m_session,
            {.method = "GET",
             .url = m_options.url + "/inventory",
-            .timeout_ms = m_options.inventory_timeout_ms},
+            .timeout_ms = m_options.inventory_timeout_ms,
+            .max_reply_bytes = kMaxUpstreamReplyBytes},
            [this, fence = message.fence](const HttpReply& reply) {
              InventoryReceived received{.fence_at_request = fence};
              try {
--- a/source/frontends/upstream_client.h
+++ b/source/frontends/upstream_client.h
@@ -15,8 +15,11 @@
 
 namespace boragepick {
 
-using UpstreamMessage =
-    std::variant<StartRun, CancelUpstreamRun, SendOrder, RequestInventory>;
+using UpstreamMessage = std::variant<StartRun,
+                                     CancelUpstreamRun,
+                                     ExtendUpstreamRun,
+                                     SendOrder,
+                                     RequestInventory>;
 
 struct UpstreamOptions {
   std::string url;
@@ -48,16 +51,24 @@
     SoupMessage* message = nullptr;
     GCancellable* cancellable = nullptr;
     GInputStream* stream = nullptr;
-    bool head_seen = false;
+    // Bytes received, and the limit beyond which the response isn't read; 0
+    // for no limit.
+    std::uint64_t received = 0;
+    std::uint64_t response_limit = 0;
+    // No read is pending until the limit is raised.
+    bool is_paused = false;
   };
 
   void On(const StartRun& message);
   void On(const CancelUpstreamRun& message);
+  void On(const ExtendUpstreamRun& message);
   void On(const SendOrder& message);
   void On(const RequestInventory& message);
 
   static void OnHead(GObject* session, GAsyncResult* result, gpointer data);
   static void OnBytes(GObject* stream, GAsyncResult* result, gpointer data);
+  // Reads on, unless the response has reached its limit.
+  void ContinueReading(Run* run);
   void ReadNextChunk(Run* run);
   void CompleteRun(Run* run, UpstreamEnd end, const std::string& detail);
 
--- a/source/unit_tests/end_to_end/deployment.cc
+++ b/source/unit_tests/end_to_end/deployment.cc
@@ -57,6 +57,9 @@
     m_curve_settings = std::string("curve_public_key = ") + public_key +
                        "\ncurve_secret_key = " + secret_key + "\n";
   }
+  if (options.memory_mb > 0)
+    m_memory_settings =
+        "[limits]\nmemory_mb = " + std::to_string(options.memory_mb) + "\n";
   AddStandin("kv", "kv", {});
   AddStandin("vms", "vms", {});
   std::vector<std::string> router_peers;
@@ -94,24 +97,28 @@
             "\n[platform]\nkey_value_url = " + m_programs["kv"].http_url +
             "\nvm_list_url = " + m_programs["vms"].http_url + "/vms\n");
   }
-  const auto add_agent =
-      [&](const std::string& name, const std::string& upstream,
-          const std::string& pool, const std::string& memory) {
-        const std::string peer = FindFreeEndpoint();
-        add_vm_entry(name, "agent", peer, pool);
-        AddDaemon(name, "agent",
-                  "[peers]\nendpoint = " + peer + "\nseeds = " + m_seeds +
-                      "\n" + m_curve_settings +
-                      "\n[upstream]\nurl = " + m_programs[upstream].http_url +
-                      "\npool = " + pool + "\nmemory_mb = " + memory +
-                      "\nslots = " + std::to_string(options.engine_slots) +
-                      "\nprogress_timeout_ms = 2000\n");
-      };
+  const auto add_agent = [&](const std::string& name, const std::string& url,
+                             const std::string& pool,
+                             const std::string& memory) {
+    const std::string peer = FindFreeEndpoint();
+    add_vm_entry(name, "agent", peer, pool);
+    AddDaemon(name, "agent",
+              "[peers]\nendpoint = " + peer + "\nseeds = " + m_seeds + "\n" +
+                  m_curve_settings + "\n[upstream]\nurl = " + url +
+                  "\npool = " + pool + "\nmemory_mb = " + memory +
+                  "\nslots = " + std::to_string(options.engine_slots) +
+                  "\nprogress_timeout_ms = 2000\n");
+  };
   for (int i = 0; i < options.engines; ++i)
-    add_agent("w" + std::to_string(i), "e" + std::to_string(i), "models",
-              "1000");
+    add_agent("w" + std::to_string(i), HttpUrl("e" + std::to_string(i)),
+              "models", "1000");
   for (int i = 0; i < options.services; ++i)
-    add_agent("c" + std::to_string(i), "s" + std::to_string(i), "orders", "0");
+    add_agent("c" + std::to_string(i), HttpUrl("s" + std::to_string(i)),
+              "orders", "0");
+  if (!options.engine_url.empty())
+    add_agent("t0", options.engine_url, "models", "1000");
+  if (!options.service_url.empty())
+    add_agent("u0", options.service_url, "tested", "0");
   PublishVmList({});
   for (std::size_t i = standin_count; i < m_start_order.size(); ++i)
     Start(m_start_order[i]);
@@ -126,6 +133,10 @@
   Apply(
       "route", "orders",
       R"("route":{"path_prefix":"/orders","target":"service","pool":"orders"})");
+  if (!options.service_url.empty())
+    Apply(
+        "route", "tested",
+        R"("route":{"path_prefix":"/tested","target":"service","pool":"tested","idempotent":true})");
 }
 
 Deployment::~Deployment() {
@@ -181,7 +192,7 @@
                       << Sha256Hex(kOperatorToken)
                       << "\n[drain]\ngrace_ms = 300\n[log]\nfile = " << m_folder
                       << "/" << name << ".log\n"
-                      << settings;
+                      << m_memory_settings << settings;
   Program& program = m_programs[name];
   program.http_url = "http://" + http;
   program.arguments = {DAEMON_PROGRAM, "--settings", file};
@@ -263,11 +274,20 @@
 }
 
 std::int64_t Deployment::MemoryKb(const std::string& name) {
+  return ReadStatusKb(name, "VmRSS:");
+}
+
+std::int64_t Deployment::OwnMemoryKb(const std::string& name) {
+  return ReadStatusKb(name, "RssAnon:");
+}
+
+std::int64_t Deployment::ReadStatusKb(const std::string& name,
+                                      std::string_view field) {
   const char* pid = g_subprocess_get_identifier(m_programs.at(name).process);
   std::ifstream status(std::string("/proc/") + pid + "/status");
   for (std::string line; std::getline(status, line);) {
-    if (line.starts_with("VmRSS:"))
-      return std::atoll(line.c_str() + 6);
+    if (line.starts_with(field))
+      return std::atoll(line.c_str() + field.size());
   }
   return 0;
 }
--- a/source/unit_tests/end_to_end/deployment.h
+++ b/source/unit_tests/end_to_end/deployment.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "tools/cli/client.h"
@@ -32,6 +33,12 @@
     unsigned engine_slots = 16;
     // Encrypts the messages between daemons with CURVE.
     bool curve = false;
+    // URLs of an engine and of a service that the test runs itself. Their
+    // agents are t0 and u0, the service's route is /tested.
+    std::string engine_url;
+    std::string service_url;
+    // Memory that each daemon may use; 0 for the default.
+    int memory_mb = 0;
   };
 
   explicit Deployment(const Options& options);
@@ -55,8 +62,10 @@
   std::string HttpUrl(const std::string& name) const;
   // CPU time used by a process during 10 seconds, in percent of a core.
   double IdleCpuPercent(const std::string& name);
-  // Resident memory of a process, in KB.
+  // Resident memory of a process, in KB, and the part of it that isn't mapped
+  // from files.
   std::int64_t MemoryKb(const std::string& name);
+  std::int64_t OwnMemoryKb(const std::string& name);
   // CPU time used by a process so far, in seconds.
   double CpuSeconds(const std::string& name);
   // Sends bytes that are not ZeroMQ frames to a daemon's peer port.
@@ -110,6 +119,7 @@
                  const std::string& role,
                  const std::string& settings);
   void PublishVmList(const std::vector<std::string>& removed_vms);
+  std::int64_t ReadStatusKb(const std::string& name, std::string_view field);
   std::string FindFreeEndpoint();
 
   std::string m_folder;
@@ -119,6 +129,7 @@
   std::vector<std::string> m_start_order;
   std::string m_seeds;
   std::string m_curve_settings;
+  std::string m_memory_settings;
   int m_routers = 0;
 };
 
--- /dev/null
+++ b/source/unit_tests/end_to_end/endless_bytes_test.cc
@@ -0,0 +1,274 @@
+// Routers and agents beside upstreams that send bytes without end, and callers
+// that read slowly or not at all.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "frontends/settings.h"
+#include "unit_tests/end_to_end/deployment.h"
+#include "unit_tests/frontends/http/blocking_socket.h"
+
+namespace boragepick {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kMemoryMb = 96;
+constexpr milliseconds kDeadline{4'000};
+
+std::string JsonText(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+         "Content-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// An engine that has model m, whose responses the test writes.
+class TestedEngine {
+ public:
+  using Handler = std::function<void(BlockingSocket&)>;
+
+  explicit TestedEngine(Handler respond)
+      : m_respond(std::move(respond)),
+        m_server([this](BlockingSocket& socket, const HttpMessage& request) {
+          Answer(socket, request.head.target);
+        }) {}
+  std::string url() const { return "http://" + m_server.address(); }
+
+ private:
+  void Answer(BlockingSocket& socket, const std::string& target) {
+    if (target == "/inventory")
+      socket.Send(JsonText(
+          R"({"run":"1","units":[{"name":"m-v1","memory_mb":400,"loaded":true}]})"));
+    else if (target.starts_with("/orders"))
+      socket.Send(JsonText("{}"));
+    else
+      m_respond(socket);
+  }
+
+  Handler m_respond;
+  BlockingServer m_server;
+};
+
+std::string Events(int count, std::size_t size) {
+  std::string events;
+  for (int i = 0; i < count; ++i)
+    events += "data: {\"t\":\"" + std::string(size, 'x') + "\"}\n\n";
+  return events;
+}
+
+const std::string kStreamHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+
+void SendWithoutEnd(BlockingSocket& socket,
+                    const std::string& head,
+                    const std::string& part) {
+  bool open = socket.Send(head);
+  while (open)
+    open = socket.Send(part);
+}
+
+std::string CallerRequest(const std::string& path, const std::string& body) {
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-a\r\n"
+         "Content-Type: application/json\r\nBoragepick-Deadline-Ms: " +
+         std::to_string(kDeadline.count()) +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+class RouterMemory : public testing::Test {
+ protected:
+  void Start(const std::string& engine_url, const std::string& service_url) {
+    m_deployment = std::make_unique<Deployment>(
+        Deployment::Options{.routers = 1,
+                            .engines = 0,
+                            .services = 1,
+                            .engine_url = engine_url,
+                            .service_url = service_url,
+                            .memory_mb = kMemoryMb});
+    m_deployment->Apply(
+        "route", "sound",
+        R"("route":{"path_prefix":"/sound","target":"service","pool":"orders","idempotent":true})");
+    const std::string url = m_deployment->HttpUrl("r0");
+    m_port = ParseEndpoint(url.substr(url.rfind('/') + 1)).port;
+    m_daemons = {"r0", engine_url.empty() ? "u0" : "t0"};
+  }
+
+  BlockingSocket Connect() { return BlockingSocket::Connect(m_port); }
+
+  // Runs `caller` on `count` threads. Meanwhile, checks that sound requests are
+  // served and that the daemons stay within their memory.
+  void RunCallers(int count, const std::function<void(int)>& caller) {
+    std::atomic<int> running = count;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < count; ++i)
+      threads.emplace_back([&, i] {
+        caller(i);
+        --running;
+      });
+    constexpr int kMinSoundRequests = 10;
+    int sound = 0;
+    std::map<std::string, std::int64_t> peaks;
+    while (running > 0 || sound < kMinSoundRequests) {
+      const auto response = m_deployment->SendRequest(
+          "r0", {.path = "/sound/" + std::to_string(sound), .body = "{}"});
+      EXPECT_EQ(response.status, 200U) << response.body;
+      ++sound;
+      for (const std::string& daemon : m_daemons)
+        peaks[daemon] =
+            std::max(peaks[daemon], m_deployment->OwnMemoryKb(daemon));
+    }
+    for (std::thread& thread : threads)
+      thread.join();
+    for (const auto& [daemon, peak] : peaks) {
+      EXPECT_GT(peak, 0) << daemon;
+      EXPECT_LE(peak / 1'024, kMemoryMb) << daemon;
+    }
+  }
+
+  std::unique_ptr<Deployment> m_deployment;
+  std::uint16_t m_port = 0;
+  std::vector<std::string> m_daemons;
+};
+
+const std::string kChat =
+    R"({"model":"m","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"x"}]})";
+
+// The agent kept all that its engine sent, and the router all that its callers
+// had not read.
+TEST_F(RouterMemory, StreamsWithoutEndStayWithinTheMemory) {
+  const std::string part = SerializeChunk(Events(500, 100));
+  TestedEngine engine([&](BlockingSocket& socket) {
+    SendWithoutEnd(socket, kStreamHead, part);
+  });
+  Start(engine.url(), "");
+  std::atomic<int> begun = 0;
+  RunCallers(24, [&](int i) {
+    BlockingSocket socket = Connect();
+    socket.Send(CallerRequest("/v1/chat/completions", kChat));
+    begun += socket.Receive().starts_with("HTTP/1.1 200") ? 1 : 0;
+    // Some callers read, some don't.
+    const auto end = std::chrono::steady_clock::now() + kDeadline;
+    while (i % 2 == 0 && !socket.Receive().empty() &&
+           std::chrono::steady_clock::now() < end) {
+    }
+    std::this_thread::sleep_until(end);
+  });
+  EXPECT_GE(begun, 16);
+}
+
+TEST_F(RouterMemory, AnEventWithoutEndStaysWithinTheMemory) {
+  const std::string part = SerializeChunk(std::string(60'000, 'x'));
+  TestedEngine engine([&](BlockingSocket& socket) {
+    SendWithoutEnd(socket, kStreamHead + SerializeChunk("data: "), part);
+  });
+  Start(engine.url(), "");
+  RunCallers(24, [&](int) {
+    BlockingSocket socket = Connect();
+    socket.Send(CallerRequest("/v1/chat/completions", kChat));
+    ResponseParser parser(ParserLimits{});
+    socket.Read(parser);
+  });
+}
+
+TEST_F(RouterMemory, PlainResponsesWithoutEndStayWithinTheMemory) {
+  const std::string part(60'000, 'x');
+  BlockingServer service([&](BlockingSocket& socket, const HttpMessage&) {
+    SendWithoutEnd(socket,
+                   "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n",
+                   part);
+  });
+  Start("", "http://" + service.address());
+  std::atomic<int> refused = 0;
+  RunCallers(24, [&](int) {
+    BlockingSocket socket = Connect();
+    socket.Send(CallerRequest("/tested/x", "{}"));
+    ResponseParser parser(ParserLimits{});
+    if (socket.Read(parser) && parser.head().status >= 500)
+      ++refused;
+  });
+  EXPECT_EQ(refused, 24);
+}
+
+// The agent reads its engine's inventory again and again.
+TEST_F(RouterMemory, AnInventoryWithoutEndStaysWithinTheMemory) {
+  const std::string part(60'000, ' ');
+  BlockingServer engine([&](BlockingSocket& socket, const HttpMessage&) {
+    SendWithoutEnd(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+                   part);
+  });
+  Start("http://" + engine.address(), "");
+  RunCallers(1, [](int) { std::this_thread::sleep_for(kDeadline); });
+}
+
+TEST_F(RouterMemory, SlowReadersGetTheWholeStream) {
+  constexpr int kParts = 60;
+  const std::string part = SerializeChunk(Events(500, 100));
+  TestedEngine engine([&](BlockingSocket& socket) {
+    socket.Send(kStreamHead);
+    for (int i = 0; i < kParts; ++i)
+      socket.Send(part);
+    socket.Send(SerializeChunk("data: [DONE]\n\n") + std::string(kLastChunk));
+  });
+  Start(engine.url(), "");
+  std::atomic<int> whole = 0;
+  RunCallers(12, [&](int) {
+    BlockingSocket socket = Connect();
+    socket.Send(CallerRequest("/v1/chat/completions", kChat));
+    ResponseParser parser(ParserLimits{});
+    std::string input;
+    std::string body;
+    while (!parser.done() && parser.error() == ParseError::kNone) {
+      const std::string bytes = socket.Receive();
+      if (bytes.empty())
+        return;
+      input += bytes;
+      parser.Consume(input);
+      body += parser.TakeBody();
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    const std::string expected = Events(500, 100);
+    if (body.size() == kParts * expected.size() + 14 &&
+        body.ends_with("data: [DONE]\n\n"))
+      ++whole;
+  });
+  EXPECT_EQ(whole, 12);
+}
+
+// More requests at once than the memory holds are rejected, and the router
+// serves others.
+TEST_F(RouterMemory, LargeRequestsAtOnceAreAnswered) {
+  BlockingServer service([](BlockingSocket& socket, const HttpMessage&) {
+    std::this_thread::sleep_for(milliseconds(300));
+    socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  Start("", "http://" + service.address());
+  const std::string body = R"({"x":")" + std::string(4 << 20, 'b') + R"("})";
+  std::atomic<int> served = 0;
+  std::atomic<int> rejected = 0;
+  RunCallers(30, [&](int) {
+    BlockingSocket socket = Connect();
+    const std::string request = CallerRequest("/tested/x", body);
+    for (std::size_t at = 0; at < request.size(); at += 256 << 10) {
+      if (!socket.Send(std::string_view(request).substr(at, 256 << 10)))
+        break;
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    ResponseParser parser(ParserLimits{});
+    const bool answered = socket.Read(parser);
+    ++(answered && parser.head().status == 200 ? served : rejected);
+  });
+  EXPECT_GE(served, 2);
+}
+
+}  // namespace
+}  // namespace boragepick
--- a/source/wire/peer_codec.cc
+++ b/source/wire/peer_codec.cc
@@ -56,6 +56,7 @@
   out.set_patience_us(message.remaining_time.count());
   out.set_resume_after(message.resume_after);
   out.set_suspect(message.suspect);
+  out.set_response_limit(message.response_limit);
 }
 
 RunRequest DecodeBody(wire::RunRequest& in) {
@@ -73,7 +74,8 @@
           .cost = in.cost(),
           .remaining_time = Duration(in.patience_us()),
           .resume_after = in.resume_after(),
-          .suspect = in.suspect()};
+          .suspect = in.suspect(),
+          .response_limit = in.response_limit()};
 }
 
 void EncodeBody(const CancelRun& message, wire::Envelope& envelope) {
@@ -84,6 +86,17 @@
   return {.id = AttemptIdFromWire(in.id())};
 }
 
+void EncodeBody(const RunCredit& message, wire::Envelope& envelope) {
+  wire::RunCredit& out = *envelope.mutable_run_credit();
+  ToWire(message.id, *out.mutable_id());
+  out.set_response_limit(message.response_limit);
+}
+
+RunCredit DecodeBody(wire::RunCredit& in) {
+  return {.id = AttemptIdFromWire(in.id()),
+          .response_limit = in.response_limit()};
+}
+
 void EncodeBody(const RunProgress& message, wire::Envelope& envelope) {
   ToWire(message.id, *envelope.mutable_run_progress()->mutable_id());
 }
@@ -440,6 +453,8 @@
       return DecodeBody(*envelope.mutable_run_request());
     case Body::kCancelRun:
       return DecodeBody(*envelope.mutable_cancel_run());
+    case Body::kRunCredit:
+      return DecodeBody(*envelope.mutable_run_credit());
     case Body::kRunProgress:
       return DecodeBody(*envelope.mutable_run_progress());
     case Body::kRunHead:
