--- a/source/unit_tests/end_to_end/endless_bytes_test.cc
+++ b/source/unit_tests/end_to_end/endless_bytes_test.cc
@@ -110,6 +110,7 @@
   void RunCallers(int count, const std::function<void(int)>& caller) {
     std::atomic<int> running = count;
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
       threads.emplace_back([&, i] {
         caller(i);
