Count outages of the worker list in close succession as one

Two outages of 1.5 s with a moment between them can let entries expire, since no heartbeat of a worker need fall into that moment; each alone is too short to keep missing workers since. An outage that begins within one heartbeat of the end of the one before goes on from its start.

ServingWorkerList.OutagesInCloseSuccessionCountAsOne fails without it. StoreTaskTest.AReplyBeyondTheLimitFailsItsCall checks the limit of replies.

--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -121,8 +121,13 @@
 
 void ServingRouter::On(TimePoint now, const WorkerListRestored& event) {
   m_list_unavailable = false;
+  const Duration heartbeat = m_state.options.worker_heartbeat;
+  const TimePoint started_at = now - event.outage;
+  if (started_at - m_outage_ended_at >= heartbeat)
+    m_outage_started_at = started_at;
+  m_outage_ended_at = now;
   const double heartbeats =
-      ToSeconds(event.outage) / ToSeconds(m_state.options.worker_heartbeat);
+      ToSeconds(now - m_outage_started_at) / ToSeconds(heartbeat);
   // After a short interruption, a worker that is missing has left.
   if (heartbeats >= kMinExpiryHeartbeats)
     m_relist_until = now + kRelistGrace;
--- a/source/core/serving/serving_router.h
+++ b/source/core/serving/serving_router.h
@@ -82,6 +82,10 @@
   TimePoint m_next_preload = TimePoint{};
   TimePoint m_last_worker_added_at = TimePoint{};
   bool m_list_unavailable = false;
+  // The latest outage of the worker list, and when it ended. Outages between
+  // which workers may not have renewed their entries count as one.
+  TimePoint m_outage_started_at = TimePoint{};
+  TimePoint m_outage_ended_at = TimePoint{};
   // End of the grace period after an outage of the worker list.
   TimePoint m_relist_until = TimePoint{};
   std::set<std::string> m_missing_workers;
--- a/source/unit_tests/core/serving/serving_worker_list_test.cc
+++ b/source/unit_tests/core/serving/serving_worker_list_test.cc
@@ -118,6 +118,27 @@
   }
 }
 
+// Neither outage is long enough, but no heartbeat of the worker may have fallen
+// between them.
+TEST_F(ServingWorkerList, OutagesInCloseSuccessionCountAsOne) {
+  for (int i = 0; i < 2; ++i) {
+    fixture.Advance(milliseconds(300));
+    FailWatch(WatchFailure::kUnreachable);
+    AwaitReturn(milliseconds(800));
+    if (i == 0)
+      Read({"p1", "p2"});
+  }
+  Read({"p2"});
+  EXPECT_TRUE(IsUsed("p1"));
+  // They don't if the store was there for longer than a heartbeat.
+  fixture.Advance(seconds(5));
+  Read({"p1", "p2"});
+  FailWatch(WatchFailure::kUnreachable);
+  AwaitReturn(milliseconds(500));
+  Read({"p2"});
+  EXPECT_FALSE(IsUsed("p1"));
+}
+
 TEST_F(ServingWorkerList, AWorkerMissingForLongAfterAnOutageIsRemoved) {
   FailWatch(WatchFailure::kUnreachable);
   AwaitReturn(seconds(4));
--- a/source/unit_tests/frontends/serving/store_task_test.cc
+++ b/source/unit_tests/frontends/serving/store_task_test.cc
@@ -114,6 +114,19 @@
   EXPECT_EQ(CountUpdates<StoreReachable>(), 0U);
 }
 
+// A faulty service sends a reply without end.
+TEST_F(StoreTaskTest, AReplyBeyondTheLimitFailsItsCall) {
+  m_server.OnRequest([this](const RawServer::Request& request) {
+    m_server.Write(request.connection,
+                   "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n" +
+                       std::string(kMaxReplyBytes + 1, 'x'));
+  });
+  m_store.Watch({.prefix = "p/"});
+  RunFor(milliseconds(300));
+  EXPECT_EQ(CountUpdates<StoreUnreachable>(), 1U);
+  EXPECT_EQ(CountUpdates<KeysSynced>(), 0U);
+}
+
 // Neither a reply nor an end of the connection.
 TEST_F(StoreTaskTest, AWatchWithoutAReplyIsAnOutage) {
   m_store.Watch({.prefix = "p/", .watch_timeout = milliseconds(100)});
