--- a/source/frontends/http/http_server.cc
+++ b/source/frontends/http/http_server.cc
@@ -306,7 +306,7 @@
     connection.parsed_bytes = 0;
     // Room to find that a header is too large.
     connection.tcp->set_max_input_bytes(std::max<std::size_t>(
-        kMaxInputBytes, 2 * connection.limits.max_header_bytes));
+        kMaxInputBytes, std::size_t{2} * connection.limits.max_header_bytes));
   }
   RequestParser& parser = *connection.parser;
   connection.parsed_bytes += input.size();
