--- a/source/unit_tests/frontends/http/http_server_memory_test.cc
+++ b/source/unit_tests/frontends/http/http_server_memory_test.cc
@@ -73,6 +73,7 @@
   ServeOpenRequests({.max_request_bytes = 250'000});
   const std::string chunk = "186a0\r\n" + std::string(kBody, 'b') + "\r\n";
   std::vector<std::unique_ptr<RawClient>> clients;
+  clients.reserve(3);
   for (int i = 0; i < 3; ++i)
     clients.push_back(SendRequest(
         "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"));
