Test the agent with heads and trailers without end

RouterMemoryHeads sends an agent endless status lines, fields, interim responses, chunk extensions and trailers, which libsoup parses before the agent sees them. No fault was found.

--- a/source/unit_tests/end_to_end/endless_bytes_test.cc
+++ b/source/unit_tests/end_to_end/endless_bytes_test.cc
@@ -200,6 +200,54 @@
   EXPECT_EQ(refused, 24);
 }
 
+// Parts of a response that libsoup parses for the agent.
+struct EndlessHead {
+  std::string name;
+  std::string begin;
+  std::string part;
+};
+
+std::vector<EndlessHead> EndlessHeads() {
+  const std::string filler(60'000, 'x');
+  std::string fields;
+  std::string interim;
+  for (int i = 0; i < 2'000; ++i) {
+    fields += "Name: value\r\n";
+    interim += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  return {{"Status", "HTTP/1.1 200 ", filler},
+          {"Field", "HTTP/1.1 200 OK\r\nName: ", filler},
+          {"Fields", "HTTP/1.1 200 OK\r\n", fields},
+          {"Interim", "", interim},
+          {"ChunkExtension", kStreamHead + "5;", filler},
+          {"Trailers", kStreamHead + "0\r\n", fields}};
+}
+
+class RouterMemoryHeads : public RouterMemory,
+                          public testing::WithParamInterface<EndlessHead> {};
+
+TEST_P(RouterMemoryHeads, StayWithinTheMemory) {
+  const EndlessHead& head = GetParam();
+  std::atomic<int> begun = 0;
+  TestedEngine engine([&](BlockingSocket& socket) {
+    ++begun;
+    SendWithoutEnd(socket, head.begin, head.part);
+  });
+  Start(engine.url(), "");
+  RunCallers(24, [&](int) {
+    BlockingSocket socket = Connect();
+    socket.Send(CallerRequest("/v1/chat/completions", kChat));
+    ResponseParser parser(ParserLimits{});
+    socket.Read(parser);
+  });
+  EXPECT_GE(begun, 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Responses,
+                         RouterMemoryHeads,
+                         testing::ValuesIn(EndlessHeads()),
+                         [](const auto& info) { return info.param.name; });
+
 // The agent reads its engine's inventory again and again.
 TEST_F(RouterMemory, AnInventoryWithoutEndStaysWithinTheMemory) {
   const std::string part(60'000, ' ');
