Discard the bodies of requests that the router has rejected

Cause: libsoup reads the rest of a request that has its response already, and keeps it. A request rejected by its announced length (413, or 503 when the memory for requests is used up) isn't counted by OnGotChunk(), so nothing bounded those bodies: callers that announce a large body and send it fill the memory of a router.

The router now tells libsoup not to keep them.

--- a/source/frontends/http_frontend.cc
+++ b/source/frontends/http_frontend.cc
@@ -50,6 +50,13 @@
           EncodeRefusal(refusal));
 }
 
+// libsoup reads the rest of a request that already has its response, and keeps
+// it by default.
+void DiscardRequestBody(SoupServerMessage* message) {
+  soup_message_body_set_accumulate(
+      soup_server_message_get_request_body(message), FALSE);
+}
+
 CallerHttpRequest ReadRequest(SoupServerMessage* message) {
   GUri* uri = soup_server_message_get_uri(message);
   CallerHttpRequest http_request{
@@ -121,6 +128,7 @@
       soup_server_message_get_request_headers(message);
   const goffset length = soup_message_headers_get_content_length(headers);
   if (static_cast<std::size_t>(length) > frontend->m_options.max_body_bytes) {
+    DiscardRequestBody(message);
     Respond(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, kJson,
             EncodeRefusal({.message = "the body is too large"}));
     return;
@@ -129,6 +137,7 @@
       frontend->m_total_request_bytes + static_cast<std::size_t>(length) <=
       frontend->m_options.max_request_bytes;
   if (!fits) {
+    DiscardRequestBody(message);
     RespondRefusal(message, {.code = RefusalCode::kNoCapacity,
                              .message = "the memory for requests is used up",
                              .retry_after = std::chrono::seconds(1)});
--- a/source/unit_tests/end_to_end/endless_bytes_test.cc
+++ b/source/unit_tests/end_to_end/endless_bytes_test.cc
@@ -293,6 +293,31 @@
   EXPECT_EQ(whole, 12);
 }
 
+// The router kept the bodies of requests that it had rejected by their announced
+// length.
+TEST_F(RouterMemory, RejectedRequestsStayWithinTheMemory) {
+  constexpr int kParts = 200;
+  const std::string part(256 << 10, 'b');
+  BlockingServer service([](BlockingSocket& socket, const HttpMessage&) {
+    socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  Start("", "http://" + service.address());
+  std::atomic<int> rejected = 0;
+  RunCallers(4, [&](int) {
+    BlockingSocket socket = Connect();
+    socket.Send(
+        "POST /sound/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-a\r\n"
+        "Content-Length: " +
+        std::to_string(kParts * part.size()) + "\r\n\r\n");
+    for (int i = 0; i < kParts; ++i)
+      socket.Send(part);
+    ResponseParser parser(ParserLimits{});
+    if (socket.Read(parser) && parser.head().status == 413)
+      ++rejected;
+  });
+  EXPECT_EQ(rejected, 4);
+}
+
 // More requests at once than the memory holds are rejected, and the router
 // serves others.
 TEST_F(RouterMemory, LargeRequestsAtOnceAreAnswered) {
