Let bursts of connections wait at the router

Cause: soup_server_listen() listens with GSocket's default backlog, ten connections. Those of a larger burst are dropped or reset by the kernel before the router sees them, so callers get no answer and no log line tells of it.

The router opens its listener itself, with SOMAXCONN as gateways have it.

Test: RouterMemory.ABurstOfCallersIsAnswered, 200 callers at once.

--- a/source/frontends/http_frontend.cc
+++ b/source/frontends/http_frontend.cc
@@ -1,7 +1,11 @@
 #include "frontends/http_frontend.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <limits>
+#include <memory>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -21,6 +25,43 @@
 // The router learns of what callers have read in steps of this size.
 constexpr std::uint64_t kReportBytes = 4 << 10;
 
+struct ObjectDeleter {
+  void operator()(gpointer object) const { g_object_unref(object); }
+};
+template <typename Object>
+using ObjectPointer = std::unique_ptr<Object, ObjectDeleter>;
+
+// Takes over `error`.
+[[noreturn]] void ThrowListenError(const Endpoint& endpoint, GError* error) {
+  const std::string reason = error->message;
+  g_error_free(error);
+  throw Error(Step::kListen, endpoint.ip + ":" + std::to_string(endpoint.port),
+              reason);
+}
+
+// A listener with a backlog for bursts; that of soup_server_listen() has room
+// for ten connections.
+ObjectPointer<GSocket> Listen(const Endpoint& endpoint) {
+  const ObjectPointer<GSocketAddress> address(
+      g_inet_socket_address_new_from_string(endpoint.ip.c_str(),
+                                            endpoint.port));
+  if (address == nullptr)
+    throw Error(Step::kListen,
+                endpoint.ip + ":" + std::to_string(endpoint.port),
+                "expected an IP number");
+  GError* error = nullptr;
+  ObjectPointer<GSocket> listener(
+      g_socket_new(g_socket_address_get_family(address.get()),
+                   G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error));
+  if (listener == nullptr)
+    ThrowListenError(endpoint, error);
+  g_socket_set_listen_backlog(listener.get(), SOMAXCONN);
+  if (!g_socket_bind(listener.get(), address.get(), TRUE, &error) ||
+      !g_socket_listen(listener.get(), &error))
+    ThrowListenError(endpoint, error);
+  return listener;
+}
+
 std::string GetHeader(SoupServerMessage* message, const char* name) {
   SoupMessageHeaders* headers =
       soup_server_message_get_request_headers(message);
@@ -90,21 +131,12 @@
       m_server(soup_server_new("server-header", "boragepick", nullptr)) {
   soup_server_add_early_handler(m_server, nullptr, OnHeaders, this, nullptr);
   soup_server_add_handler(m_server, nullptr, OnRequest, this, nullptr);
-  GSocketAddress* address = g_inet_socket_address_new_from_string(
-      m_options.endpoint.ip.c_str(), m_options.endpoint.port);
-  const std::string where =
-      m_options.endpoint.ip + ":" + std::to_string(m_options.endpoint.port);
-  if (address == nullptr)
-    throw Error(Step::kListen, where, "expected an IP number");
+  const ObjectPointer<GSocket> listener = Listen(m_options.endpoint);
   GError* error = nullptr;
-  soup_server_listen(m_server, address, static_cast<SoupServerListenOptions>(0),
-                     &error);
-  g_object_unref(address);
-  if (error == nullptr)
-    return;
-  const std::string reason = error->message;
-  g_error_free(error);
-  throw Error(Step::kListen, where, reason);
+  if (!soup_server_listen_socket(m_server, listener.get(),
+                                 static_cast<SoupServerListenOptions>(0),
+                                 &error))
+    ThrowListenError(m_options.endpoint, error);
 }
 
 HttpFrontend::~HttpFrontend() {
--- a/source/unit_tests/end_to_end/endless_bytes_test.cc
+++ b/source/unit_tests/end_to_end/endless_bytes_test.cc
@@ -293,8 +293,8 @@
   EXPECT_EQ(whole, 12);
 }
 
-// The router kept the bodies of requests that it had rejected by their announced
-// length.
+// The router kept the bodies of requests that it had rejected by their
+// announced length.
 TEST_F(RouterMemory, RejectedRequestsStayWithinTheMemory) {
   constexpr int kParts = 200;
   const std::string part(256 << 10, 'b');
@@ -344,5 +344,23 @@
   EXPECT_GE(served, 2);
 }
 
+// Callers of a burst were reset, as only ten connections could wait.
+TEST_F(RouterMemory, ABurstOfCallersIsAnswered) {
+  constexpr int kCallers = 200;
+  BlockingServer service([](BlockingSocket& socket, const HttpMessage&) {
+    socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  Start("", "http://" + service.address());
+  const std::string body(64 << 10, ' ');
+  std::atomic<int> answered = 0;
+  RunCallers(kCallers, [&](int) {
+    BlockingSocket socket = Connect();
+    socket.Send(CallerRequest("/sound/x", body));
+    ResponseParser parser(ParserLimits{});
+    answered += socket.Read(parser) ? 1 : 0;
+  });
+  EXPECT_EQ(answered, kCallers);
+}
+
 }  // namespace
 }  // namespace boragepick
