Reserve the announced length of requests at the router

Cause: a request was admitted by its announced length beside the bytes received of the others. Requests that begin together were all admitted; when the bodies went beyond the limit, connections were closed, and the rest kept the memory filled to the last byte.

A request now reserves its announced length up to the end of its response, and is rejected with 503 and Retry-After if that doesn't fit. A body without progress for 15 s ends its connection, as at gateways, so a caller that stalls doesn't keep its reservation.

Tests: LargeRequestsAtOnceAreAnswered asks for an answer to each request now.

--- a/source/frontends/http_frontend.cc
+++ b/source/frontends/http_frontend.cc
@@ -3,7 +3,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -20,10 +19,9 @@
 
 constexpr const char* kJson = "application/json";
 constexpr const char* kText = "text/plain";
-// In place of the bytes of a request whose connection was closed.
-constexpr std::size_t kClosedRequest = std::numeric_limits<std::size_t>::max();
 // The router learns of what callers have read in steps of this size.
 constexpr std::uint64_t kReportBytes = 4 << 10;
+constexpr unsigned kInputCheckMs = 1'000;
 
 struct ObjectDeleter {
   void operator()(gpointer object) const { g_object_unref(object); }
@@ -123,10 +121,11 @@
 
 }  // namespace
 
-HttpFrontend::HttpFrontend(GlibLoop& /*loop*/,
+HttpFrontend::HttpFrontend(GlibLoop& loop,
                            HttpFrontendOptions options,
                            HttpFrontendCallbacks callbacks)
-    : m_options(std::move(options)),
+    : m_loop(loop),
+      m_options(std::move(options)),
       m_callbacks(std::move(callbacks)),
       m_server(soup_server_new("server-header", "boragepick", nullptr)) {
   soup_server_add_early_handler(m_server, nullptr, OnHeaders, this, nullptr);
@@ -137,6 +136,7 @@
                                  static_cast<SoupServerListenOptions>(0),
                                  &error))
     ThrowListenError(m_options.endpoint, error);
+  CheckInputsLater();
 }
 
 HttpFrontend::~HttpFrontend() {
@@ -158,23 +158,25 @@
   auto* frontend = static_cast<HttpFrontend*>(self);
   SoupMessageHeaders* headers =
       soup_server_message_get_request_headers(message);
-  const goffset length = soup_message_headers_get_content_length(headers);
-  if (static_cast<std::size_t>(length) > frontend->m_options.max_body_bytes) {
+  const auto length = static_cast<std::size_t>(
+      soup_message_headers_get_content_length(headers));
+  if (length > frontend->m_options.max_body_bytes) {
     DiscardRequestBody(message);
     Respond(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, kJson,
             EncodeRefusal({.message = "the body is too large"}));
     return;
   }
-  const bool fits =
-      frontend->m_total_request_bytes + static_cast<std::size_t>(length) <=
-      frontend->m_options.max_request_bytes;
-  if (!fits) {
+  if (frontend->m_request_bytes + length >
+      frontend->m_options.max_request_bytes) {
     DiscardRequestBody(message);
     RespondRefusal(message, {.code = RefusalCode::kNoCapacity,
                              .message = "the memory for requests is used up",
                              .retry_after = std::chrono::seconds(1)});
     return;
   }
+  frontend->m_inputs[message] = {.reserved = length,
+                                 .last_received = ReadBootClock()};
+  frontend->m_request_bytes += length;
   g_signal_connect(message, "got-chunk", G_CALLBACK(OnGotChunk), self);
   g_signal_connect(message, "finished", G_CALLBACK(OnRequestFinished), self);
 }
@@ -183,20 +185,27 @@
                               GBytes* chunk,
                               gpointer self) {
   auto* frontend = static_cast<HttpFrontend*>(self);
-  const auto found = frontend->m_request_bytes.try_emplace(message, 0).first;
+  Input& input = frontend->m_inputs.at(message);
   // The rest of a request whose connection was closed.
-  if (found->second == kClosedRequest)
+  if (input.is_closed)
+    return;
+  input.last_received = ReadBootClock();
+  input.received += g_bytes_get_size(chunk);
+  if (input.received <= input.reserved)
     return;
-  const std::size_t size = g_bytes_get_size(chunk);
-  found->second += size;
-  frontend->m_total_request_bytes += size;
   // A body without Content-Length passes OnHeaders(), so the connection is
   // closed as soon as a limit is exceeded.
-  if (found->second <= frontend->m_options.max_body_bytes &&
-      frontend->m_total_request_bytes <= frontend->m_options.max_request_bytes)
+  frontend->m_request_bytes += input.received - input.reserved;
+  input.reserved = input.received;
+  if (input.received <= frontend->m_options.max_body_bytes &&
+      frontend->m_request_bytes <= frontend->m_options.max_request_bytes)
     return;
-  frontend->m_total_request_bytes -=
-      std::exchange(found->second, kClosedRequest);
+  frontend->CloseInput(message, input);
+}
+
+void HttpFrontend::CloseInput(SoupServerMessage* message, Input& input) {
+  m_request_bytes -= std::exchange(input.reserved, 0);
+  input.is_closed = true;
   CloseConnection(message);
 }
 
@@ -209,12 +218,27 @@
 void HttpFrontend::OnRequestFinished(SoupServerMessage* message,
                                      gpointer self) {
   auto* frontend = static_cast<HttpFrontend*>(self);
-  const auto found = frontend->m_request_bytes.find(message);
-  if (found == frontend->m_request_bytes.end())
+  const auto found = frontend->m_inputs.find(message);
+  if (found == frontend->m_inputs.end())
     return;
-  if (found->second != kClosedRequest)
-    frontend->m_total_request_bytes -= found->second;
-  frontend->m_request_bytes.erase(found);
+  frontend->m_request_bytes -= found->second.reserved;
+  frontend->m_inputs.erase(found);
+}
+
+void HttpFrontend::CheckInputsLater() {
+  m_loop.RunAfter(kInputCheckMs, [this] {
+    CloseStalledInputs(ReadBootClock());
+    CheckInputsLater();
+  });
+}
+
+void HttpFrontend::CloseStalledInputs(TimePoint now) {
+  for (auto& [message, input] : m_inputs) {
+    if (input.is_complete || input.is_closed ||
+        now - input.last_received < m_options.body_timeout)
+      continue;
+    CloseInput(message, input);
+  }
 }
 
 void HttpFrontend::OnRequest(SoupServer* /*server*/,
@@ -222,7 +246,11 @@
                              const char* path,
                              GHashTable* /*query*/,
                              gpointer self) {
-  static_cast<HttpFrontend*>(self)->Serve(message, path);
+  auto* frontend = static_cast<HttpFrontend*>(self);
+  const auto input = frontend->m_inputs.find(message);
+  if (input != frontend->m_inputs.end())
+    input->second.is_complete = true;
+  frontend->Serve(message, path);
 }
 
 void HttpFrontend::Serve(SoupServerMessage* message, const std::string& path) {
--- a/source/frontends/http_frontend.h
+++ b/source/frontends/http_frontend.h
@@ -5,6 +5,8 @@
 
 #include <libsoup/soup.h>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -47,9 +49,12 @@
 struct HttpFrontendOptions {
   Endpoint endpoint;
   std::size_t max_body_bytes = 0;
+  // How long the body of a request may stay without progress.
+  Duration body_timeout = std::chrono::seconds(15);
   // Limits for all connections together: bodies of requests, which are rejected
-  // beyond it, and responses that were not read. Beyond the latter, the
-  // connection that has read nothing for the longest time is closed.
+  // by their announced length beyond it, and responses that were not read.
+  // Beyond the latter, the connection that has read nothing for the longest
+  // time is closed.
   std::size_t max_request_bytes = 32 << 20;
   std::size_t max_unsent_bytes = 64 << 20;
   CallerDefaults defaults;
@@ -78,6 +83,16 @@
     bool from_caller = false;
   };
 
+  // The body of a request, which holds memory up to the end of its response.
+  struct Input {
+    // Announced length, or what was received beyond it.
+    std::size_t reserved = 0;
+    std::size_t received = 0;
+    TimePoint last_received;
+    bool is_complete = false;
+    bool is_closed = false;
+  };
+
   // A response on its way to the caller.
   struct Output {
     RequestId id = 0;
@@ -109,6 +124,11 @@
                       gpointer self);
   // Closes the connection of a message without a further response.
   static void CloseConnection(SoupServerMessage* message);
+  // The same, and releases the memory of the request.
+  void CloseInput(SoupServerMessage* message, Input& input);
+  void CloseStalledInputs(TimePoint now);
+  // Calls CloseStalledInputs() at intervals.
+  void CheckInputsLater();
   void CloseStalledConnections();
   static void OnRequestFinished(SoupServerMessage* message, gpointer self);
 
@@ -130,6 +150,7 @@
   void On(const ReadinessChanged& message) { m_ready = message.ready; }
   void On(const FinishResponses& message);
 
+  GlibLoop& m_loop;
   HttpFrontendOptions m_options;
   HttpFrontendCallbacks m_callbacks;
   SoupServer* m_server;
@@ -140,9 +161,9 @@
   bool m_finishing = false;
   std::unordered_map<SoupServerMessage*, Output> m_outputs;
   std::size_t m_unsent_bytes = 0;
-  // Bodies received, by message, and their sum.
-  std::unordered_map<SoupServerMessage*, std::size_t> m_request_bytes;
-  std::size_t m_total_request_bytes = 0;
+  std::unordered_map<SoupServerMessage*, Input> m_inputs;
+  // Sum of what they reserve.
+  std::size_t m_request_bytes = 0;
   std::unordered_map<std::uint64_t, Exchange> m_exchanges;
   std::unordered_map<SoupServerMessage*, std::uint64_t> m_exchange_ids;
 };
--- a/source/unit_tests/end_to_end/endless_bytes_test.cc
+++ b/source/unit_tests/end_to_end/endless_bytes_test.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -319,7 +320,7 @@
 }
 
 // More requests at once than the memory holds are rejected, and the router
-// serves others.
+// serves others. It cut connections that it had admitted together.
 TEST_F(RouterMemory, LargeRequestsAtOnceAreAnswered) {
   BlockingServer service([](BlockingSocket& socket, const HttpMessage&) {
     std::this_thread::sleep_for(milliseconds(300));
@@ -327,8 +328,8 @@
   });
   Start("", "http://" + service.address());
   const std::string body = R"({"x":")" + std::string(4 << 20, 'b') + R"("})";
-  std::atomic<int> served = 0;
-  std::atomic<int> rejected = 0;
+  std::mutex mutex;
+  std::map<int, int> counts;
   RunCallers(30, [&](int) {
     BlockingSocket socket = Connect();
     const std::string request = CallerRequest("/tested/x", body);
@@ -339,9 +340,11 @@
     }
     ResponseParser parser(ParserLimits{});
     const bool answered = socket.Read(parser);
-    ++(answered && parser.head().status == 200 ? served : rejected);
+    const std::scoped_lock lock(mutex);
+    ++counts[answered ? parser.head().status : 0];
   });
-  EXPECT_GE(served, 2);
+  EXPECT_GE(counts[200], 2);
+  EXPECT_EQ(counts[200] + counts[503], 30) << testing::PrintToString(counts);
 }
 
 // Callers of a burst were reset, as only ten connections could wait.
@@ -362,5 +365,30 @@
   EXPECT_EQ(answered, kCallers);
 }
 
+// A request holds the memory that it announced until its body stalls.
+TEST_F(RouterMemory, AStalledRequestReleasesItsMemory) {
+  BlockingServer service([](BlockingSocket& socket, const HttpMessage&) {
+    socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  Start("", "http://" + service.address());
+  constexpr std::size_t kRequestMemory = kMemoryMb * (std::size_t{1} << 20) / 8;
+  constexpr std::size_t kLargestBody = 8 << 20;
+  const auto announce = [](BlockingSocket& socket, std::size_t length) {
+    socket.Send(
+        "POST /sound/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-a\r\n"
+        "Content-Length: " +
+        std::to_string(length) + "\r\n\r\nbody");
+  };
+  BlockingSocket first = Connect();
+  announce(first, kLargestBody);
+  BlockingSocket second = Connect();
+  announce(second, kRequestMemory - kLargestBody);
+  const auto send_sound = [this] {
+    return m_deployment->SendRequest("r0", {.path = "/sound/y", .body = "{}"});
+  };
+  EXPECT_TRUE(WaitUntil([&] { return send_sound().status == 503; }));
+  EXPECT_TRUE(WaitUntil([&] { return send_sound().status == 200; }));
+}
+
 }  // namespace
 }  // namespace boragepick
