Reserve the ports of tests' deployments

A socket that doesn't listen now stays bound to each port while the deployment exists. Programs that set SO_REUSEADDR, as our listeners do, still bind to the port; bind() to port 0 and outgoing connections don't get it.

EndToEnd.NoOtherProgramGetsAReservedPort is new.

--- a/source/unit_tests/end_to_end/deployment.cc
+++ b/source/unit_tests/end_to_end/deployment.cc
@@ -64,7 +64,7 @@
   AddStandin("vms", "vms", {});
   std::vector<std::string> router_peers;
   for (int i = 0; i < options.routers; ++i) {
-    router_peers.push_back(FindFreeEndpoint());
+    router_peers.push_back(ReserveEndpoint());
     m_seeds += (i > 0 ? "," : "") + router_peers.back();
   }
   for (int i = 0; i < options.engines; ++i) {
@@ -100,7 +100,7 @@
   const auto add_agent = [&](const std::string& name, const std::string& url,
                              const std::string& pool,
                              const std::string& memory) {
-    const std::string peer = FindFreeEndpoint();
+    const std::string peer = ReserveEndpoint();
     add_vm_entry(name, "agent", peer, pool);
     AddDaemon(name, "agent",
               "[peers]\nendpoint = " + peer + "\nseeds = " + m_seeds + "\n" +
@@ -149,6 +149,8 @@
     g_subprocess_wait(program.process, nullptr, nullptr);
     g_object_unref(program.process);
   }
+  for (const int fd : m_reserved_ports)
+    close(fd);
   for (const auto& [name, program] : m_programs)
     g_remove((m_folder + "/" + name + ".ini").c_str());
   for (const auto& [name, program] : m_programs)
@@ -156,8 +158,12 @@
   g_rmdir(m_folder.c_str());
 }
 
-std::string Deployment::FindFreeEndpoint() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+std::string Deployment::ReserveEndpoint() {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  m_reserved_ports.push_back(fd);
+  // Permits a program that sets it too, as listeners do, to bind to the port.
+  const int reuse = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -165,14 +171,13 @@
     throw Error(Step::kListen, "loopback", "no free port");
   socklen_t size = sizeof(address);
   getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
   return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
 void Deployment::AddStandin(const std::string& name,
                             const std::string& kind,
                             std::vector<std::string> options) {
-  const std::string endpoint = FindFreeEndpoint();
+  const std::string endpoint = ReserveEndpoint();
   Program& program = m_programs[name];
   program.http_url = "http://" + endpoint;
   program.arguments = {STANDIN_PROGRAM, "--kind", kind, "--endpoint", endpoint};
@@ -184,7 +189,7 @@
 void Deployment::AddDaemon(const std::string& name,
                            const std::string& role,
                            const std::string& settings) {
-  const std::string http = FindFreeEndpoint();
+  const std::string http = ReserveEndpoint();
   const std::string file = m_folder + "/" + name + ".ini";
   std::ofstream(file) << "[node]\nrole = " << role << "\nvm = " << name
                       << "\ndata_centre = a\n[http]\nendpoint = " << http
--- a/source/unit_tests/end_to_end/deployment.h
+++ b/source/unit_tests/end_to_end/deployment.h
@@ -68,6 +68,8 @@
   std::int64_t OwnMemoryKb(const std::string& name);
   // CPU time used by a process so far, in seconds.
   double CpuSeconds(const std::string& name);
+  // An endpoint whose port no other socket gets while the deployment exists.
+  std::string ReserveEndpoint();
   // Sends bytes that are not ZeroMQ frames to a daemon's peer port.
   void SendInvalidBytes(const std::string& daemon);
   // Publishes the list of all VMs except these.
@@ -120,9 +122,9 @@
                  const std::string& settings);
   void PublishVmList(const std::vector<std::string>& removed_vms);
   std::int64_t ReadStatusKb(const std::string& name, std::string_view field);
-  std::string FindFreeEndpoint();
 
   std::string m_folder;
+  std::vector<int> m_reserved_ports;
   std::map<std::string, Program> m_programs;
   std::map<std::string, std::string> m_vm_entries;
   std::map<std::string, std::string> m_peer_endpoints;
--- a/source/unit_tests/end_to_end/end_to_end_test.cc
+++ b/source/unit_tests/end_to_end/end_to_end_test.cc
@@ -4,15 +4,19 @@
 
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <zmq.h>
 
 #include <atomic>
+#include <cstdint>
 #include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "unit_tests/end_to_end/deployment.h"
+#include "unit_tests/frontends/http/blocking_socket.h"
 
 namespace boragepick {
 namespace {
@@ -328,6 +332,21 @@
   deployment.Signal(frozen, SIGCONT);
 }
 
+// Another program took the port of a daemon before the daemon listened, and the
+// deployment started without it.
+TEST(EndToEnd, NoOtherProgramGetsAReservedPort) {
+  Deployment deployment({.engines = 0, .services = 0});
+  const std::string endpoint = deployment.ReserveEndpoint();
+  const auto port = static_cast<std::uint16_t>(
+      std::stoi(endpoint.substr(endpoint.rfind(':') + 1)));
+  const sockaddr_in address = LoopbackEndpoint(port);
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  EXPECT_NE(
+      bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)),
+      0);
+  close(fd);
+}
+
 TEST(EndToEnd, ARequestAtAFrozenEngineIsRetriedAtAnother) {
   Deployment deployment({.engines = 2, .services = 0});
   WarmUp(deployment, "r0");
