Reject responses whose status HTTP doesn't have

The parser of responses now takes a status outside of 100 to 599 for a malformed response, for workers, store and engines alike; the calls through libsoup check the same function. The caller gets 502, or a repeatable request is retried.

HttpClientTest.ResponseWithAnInvalidStatusFailsTheCall failed at 000 and UpstreamStatusTest.AnInvalidStatusFailsTheRun for 600 and 999 before the fix; both pass with it, with the other tests of these files.

--- a/source/frontends/http/http_parser.cc
+++ b/source/frontends/http/http_parser.cc
@@ -7,6 +7,8 @@
 #include <limits>
 #include <utility>
 
+#include "common/http_status.h"
+
 namespace boragepick {
 
 namespace {
@@ -72,6 +74,8 @@
                         error_code& error) override {
     error = {};
     head.status = static_cast<unsigned>(status);
+    if (!IsValidStatus(head.status))
+      error = http::error::bad_status;
     head.reason = ToString(reason);
     head.version = version;
   }
--- a/source/frontends/soup_call.cc
+++ b/source/frontends/soup_call.cc
@@ -3,6 +3,8 @@
 #include <memory>
 #include <utility>
 
+#include "common/http_status.h"
+
 namespace boragepick {
 
 namespace {
@@ -81,6 +83,10 @@
   if (call->stream == nullptr)
     return FailCall(*call, error);
   call->reply.status = soup_message_get_status(call->message);
+  if (!IsValidStatus(call->reply.status)) {
+    call->reply.detail = "invalid status " + std::to_string(call->reply.status);
+    return call->handler(std::move(call->reply));
+  }
   ReadReply(std::move(call));
 }
 
--- a/source/frontends/upstream_client.cc
+++ b/source/frontends/upstream_client.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "common/error.h"
+#include "common/http_status.h"
 #include "frontends/soup_call.h"
 #include "wire/generated/upstream.pb.h"
 #include "wire/record_codec.h"
@@ -127,12 +128,17 @@
   }
   if (run->client == nullptr)
     return;
+  const unsigned status = soup_message_get_status(run->message);
+  if (!IsValidStatus(status)) {
+    run->client->CompleteRun(run, UpstreamEnd::kFailed,
+                             "invalid status " + std::to_string(status));
+    return;
+  }
   const char* type = soup_message_headers_get_one(
       soup_message_get_response_headers(run->message), "Content-Type");
-  run->client->m_on_event(
-      UpstreamHead{.run = run->number,
-                   .head = {.status = soup_message_get_status(run->message),
-                            .content_type = type == nullptr ? "" : type}});
+  run->client->m_on_event(UpstreamHead{
+      .run = run->number,
+      .head = {.status = status, .content_type = type == nullptr ? "" : type}});
   run->client->ReadNextChunk(run);
 }
 
--- a/source/unit_tests/frontends/http/http_client_test.cc
+++ b/source/unit_tests/frontends/http/http_client_test.cc
@@ -226,6 +226,24 @@
   }
 }
 
+// A worker in trouble sent the status 000, and its caller got that response.
+TEST_F(HttpClientTest, ResponseWithAnInvalidStatusFailsTheCall) {
+  for (const std::string status :
+       {"000", "001", "099", "600", "700", "999", "-20", "2x0", "20"}) {
+    m_server.OnRequest([&](const RawServer::Request& request) {
+      m_server.Write(request.connection,
+                     "HTTP/1.1 " + status + " OK\r\nEcho: " + IdOf(request) +
+                         "\r\nContent-Length: 3\r\n\r\nabc");
+    });
+    const Outcome outcome = Perform(MakeCall());
+    EXPECT_EQ(outcome.status, 0U) << status;
+    EXPECT_FALSE(outcome.completed) << status;
+    ASSERT_TRUE(outcome.failed) << status;
+    EXPECT_EQ(outcome.failed->failure, CallFailure::kMalformed) << status;
+    EXPECT_TRUE(outcome.failed->sent) << status;
+  }
+}
+
 // A worker that responds before it reads a long body gets the rest of that body
 // before the next request.
 TEST_F(HttpClientTest, NextRequestFollowsTheWholeBodyOfAnUnreadOne) {
--- a/source/unit_tests/frontends/upstream_client_test.cc
+++ b/source/unit_tests/frontends/upstream_client_test.cc
@@ -33,6 +33,8 @@
           const std::lock_guard lock(m_mutex);
           if (const auto* bytes = std::get_if<UpstreamBytes>(&event))
             m_received += bytes->bytes.size();
+          else if (const auto* head = std::get_if<UpstreamHead>(&event))
+            m_status = head->head.status;
           else if (const auto* ended = std::get_if<UpstreamEnded>(&event))
             m_end = ended->end;
           m_changed.notify_all();
@@ -54,6 +56,7 @@
 
   std::mutex m_mutex;
   std::condition_variable m_changed;
+  std::optional<unsigned> m_status;
   std::size_t m_received = 0;
   std::optional<UpstreamEnd> m_end;
   GlibTask<UpstreamMessage> m_task;
@@ -86,6 +89,27 @@
   EXPECT_NE(*m_end, UpstreamEnd::kComplete);
 }
 
+// An upstream in trouble sends a status that no response can have.
+class UpstreamStatusTest : public UpstreamClientTest,
+                           public testing::WithParamInterface<const char*> {};
+
+TEST_P(UpstreamStatusTest, AnInvalidStatusFailsTheRun) {
+  BlockingServer server([](BlockingSocket& socket, const HttpMessage&) {
+    socket.Send(std::string("HTTP/1.1 ") + GetParam() +
+                " OK\r\nContent-Length: 3\r\n\r\nabc");
+  });
+  Start(server.address());
+  StartRun(0, 0);
+  ASSERT_TRUE(WaitFor([this] { return m_end.has_value(); }));
+  EXPECT_EQ(*m_end, UpstreamEnd::kFailed);
+  EXPECT_FALSE(m_status);
+  EXPECT_EQ(m_received, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses,
+                         UpstreamStatusTest,
+                         testing::Values("000", "099", "600", "999"));
+
 TEST_F(UpstreamClientTest, ReadsNoFurtherThanPermitted) {
   constexpr std::size_t kResponse = 8 << 20;
   BlockingServer server([](BlockingSocket& socket, const HttpMessage&) {
