Hold which data centres are evacuated and where requests may run

The gateway knew no request to empty a data centre, and routes and teams could not name regions. The core now holds evacuations, learned by single changes or a complete list, leaves their workers out of attempts, retries, resumed streams and loads, moves models that only they have loaded, and bounds admission to the remaining slots by urgency. Requests of routes and teams with allowed regions run in these only. Until an evacuation must have taken effect, requests that no other worker can run still go there.

--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -176,6 +176,11 @@
       {LogEvent::kWorkerMissing, kInfo, kFeed, "worker_missing",
        "A worker is not in the list after an outage of the platform in which "
        "its entry may have expired; it is used for a moment longer."},
+      {LogEvent::kEvacuationRequested, kInfo, kFeed, "evacuation_requested",
+       "An operator asked to evacuate a data centre; in_effect_ms tells after "
+       "how long its workers get no more requests."},
+      {LogEvent::kEvacuationEnded, kInfo, kFeed, "evacuation_ended",
+       "The evacuation of a data centre was taken back."},
       {LogEvent::kPeerFrameRejected, kWarning, kPeers, "peer_frame_rejected",
        "A frame on the peer port could not be decoded and was dropped."},
       {LogEvent::kUpstreamSilent, kWarning, kPeers, "upstream_silent",
--- a/source/common/log_event.h
+++ b/source/common/log_event.h
@@ -96,6 +96,8 @@
   kWorkerPaused = 612,
   kWatchCut = 613,
   kWorkerMissing = 614,
+  kEvacuationRequested = 620,
+  kEvacuationEnded = 621,
   kPeerFrameRejected = 700,
   kUpstreamSilent = 701,
 };
--- a/source/core/serving/exchange.cc
+++ b/source/core/serving/exchange.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<ServingRefusalRow, 14> kRefusals{{
+constexpr std::array<ServingRefusalRow, 16> kRefusals{{
     {ServingRefusal::kNoConfiguration, "no_configuration", 503},
     {ServingRefusal::kRouteUnknown, "route_unknown", 404},
     {ServingRefusal::kKeyMissing, "key_missing", 401},
@@ -22,6 +22,8 @@
     {ServingRefusal::kWorkerFailed, "worker_failed", 502},
     {ServingRefusal::kBreaksWorkers, "breaks_workers", 502},
     {ServingRefusal::kStopping, "stopping", 503},
+    {ServingRefusal::kEvacuated, "evacuated", 503},
+    {ServingRefusal::kNoAllowedRegion, "no_allowed_region", 503},
 }};
 
 }  // namespace
--- a/source/core/serving/exchange.h
+++ b/source/core/serving/exchange.h
@@ -9,6 +9,7 @@
 
 #include "common/enum_table.h"
 #include "common/time.h"
+#include "core/serving/allowed_regions.h"
 #include "core/serving/event_splitter.h"
 #include "core/serving/serving_config.h"
 #include "core/serving/serving_messages.h"
@@ -44,6 +45,8 @@
   kWorkerFailed,
   kBreaksWorkers,
   kStopping,
+  kEvacuated,
+  kNoAllowedRegion,
 };
 
 struct ServingRefusalRow {
@@ -96,6 +99,7 @@
   const ServingRoute* route = nullptr;
   std::string team;
   int urgency = 5;
+  AllowedRegions allowed_regions;
   std::string service;
   // "model" or "model/adapter"; empty for a plain service.
   std::string weights;
--- a/source/core/serving/load_planner.cc
+++ b/source/core/serving/load_planner.cc
@@ -90,6 +90,15 @@
          worker.contents.SourceOf(target.model) == WeightsSource::kStore;
 }
 
+// Names a pending load. Requests that may run in some regions only don't wait
+// for a load elsewhere.
+std::string PendingLoadName(const std::string& model,
+                            const std::string& adapter,
+                            const std::string& regions) {
+  const std::string name = WeightsName(model, adapter);
+  return regions.empty() ? name : name + "@" + regions;
+}
+
 std::uint32_t RunningRequests(const Worker& worker,
                               const std::string& weights) {
   const auto found = worker.running_by_weights.find(weights);
@@ -345,7 +354,8 @@
   if (!engine.models.contains(target.model))
     return std::nullopt;
   RemoveExpired(now);
-  const std::string name = WeightsName(target.model, target.adapter);
+  const std::string name =
+      PendingLoadName(target.model, target.adapter, target.regions);
   const auto pending = m_pending_loads.find(name);
   const bool is_pending = pending != m_pending_loads.end();
   if (is_pending && now - pending->second.last_sent < kResendInterval)
@@ -459,8 +469,9 @@
 }
 
 void LoadPlanner::ClearPendingLoad(const std::string& model,
-                                   const std::string& adapter) {
-  m_pending_loads.erase(WeightsName(model, adapter));
+                                   const std::string& adapter,
+                                   const std::string& regions) {
+  m_pending_loads.erase(PendingLoadName(model, adapter, regions));
 }
 
 }  // namespace boragepick
--- a/source/core/serving/load_planner.h
+++ b/source/core/serving/load_planner.h
@@ -39,6 +39,8 @@
   // Number of requests that wait for the weights. If 0, the load uses only
   // free memory and evicts nothing.
   std::uint32_t waiting = 0;
+  // Tells the load apart from one in other regions; empty for a load anywhere.
+  std::string regions = {};
 };
 
 class LoadPlanner {
@@ -76,7 +78,9 @@
 
   // Ends the pending load: the weights are loaded, or no request waits for them
   // any more.
-  void ClearPendingLoad(const std::string& model, const std::string& adapter);
+  void ClearPendingLoad(const std::string& model,
+                        const std::string& adapter,
+                        const std::string& regions);
 
   // Returns this router's recent requests per second for "model" or
   // "model/adapter".
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -83,19 +83,21 @@
   std::erase_if(workers, [now, limit](const Worker* worker) {
     return !worker->IsUsable(now) || worker->running >= limit;
   });
+  KeepPermitted(now, exchange, workers);
   return workers;
 }
 
 std::vector<Worker*> RequestTable::ReadyWorkers(const std::string& service) {
   std::vector<Worker*> workers = m_state.workers.FindByService(service);
-  std::erase_if(workers,
-                [](const Worker* worker) { return !worker->IsReady(); });
+  std::erase_if(workers, [this](const Worker* worker) {
+    return !worker->IsReady() || IsEvacuated(*worker);
+  });
   return workers;
 }
 
 std::optional<Duration> RequestTable::CommonPause(TimePoint now,
-                                                  const std::string& service) {
-  const std::vector<Worker*> workers = ReadyWorkers(service);
+                                                  const Exchange& exchange) {
+  const std::vector<Worker*> workers = ReadyWorkers(exchange);
   if (workers.empty())
     return std::nullopt;
   const Worker* first =
@@ -106,10 +108,14 @@
 }
 
 void RequestTable::HoldOrReject(TimePoint now, Exchange& exchange) {
-  const std::optional<Duration> pause = CommonPause(now, exchange.service);
+  const bool may_have_run = exchange.head_sent || exchange.possible_runs > 0;
+  const auto refusal = RefusalOfPlaces(now, exchange);
+  if (refusal && !may_have_run)
+    return Refuse(now, exchange, *refusal);
+  const std::optional<Duration> pause = CommonPause(now, exchange);
   const bool is_late =
       pause && now + *pause > exchange.arrived + exchange.route->target_latency;
-  if (!is_late || exchange.head_sent || exchange.possible_runs > 0)
+  if (!is_late || may_have_run)
     return Hold(now, exchange, "no_worker");
   // Callers that all return when the pause ends would fill the workers again.
   const auto spread = static_cast<Duration::rep>(
--- a/source/core/serving/request_loads.cc
+++ b/source/core/serving/request_loads.cc
@@ -48,10 +48,12 @@
       return Refuse(now, exchange, ServingRefusal::kModelNotLoaded);
     return Hold(now, exchange, "model_not_loaded");
   }
-  if (choice.cost > kReplicationDelayThreshold && request.adapter.empty())
+  if ((choice.cost > kReplicationDelayThreshold && request.adapter.empty()) ||
+      IsEvacuated(*choice.worker))
     RequestWeights(now, exchange, engine);
   else
-    m_load_planner.ClearPendingLoad(request.model, request.adapter);
+    m_load_planner.ClearPendingLoad(request.model, request.adapter,
+                                    exchange.allowed_regions.Text());
   SendTo(now, exchange, choice);
 }
 
@@ -59,7 +61,7 @@
   if (exchange.head_sent || exchange.possible_runs > 0)
     return false;
   const ServingRequest& request = *exchange.request;
-  const std::vector<Worker*> workers = ReadyWorkers(exchange.service);
+  const std::vector<Worker*> workers = ReadyWorkers(exchange);
   const bool is_loaded =
       std::ranges::any_of(workers, [&request](const Worker* worker) {
         return worker->contents.Holds(request.model, request.adapter);
@@ -71,7 +73,7 @@
                                   const Exchange& exchange,
                                   const EngineSpec& engine) {
   const ServingRequest& request = *exchange.request;
-  const std::vector<Worker*> workers = ReadyWorkers(exchange.service);
+  const std::vector<Worker*> workers = ReadyWorkers(exchange);
   const bool model_loaded =
       std::ranges::any_of(workers, [&request](const Worker* worker) {
         return worker->contents.Find(request.model) != nullptr;
@@ -79,7 +81,8 @@
   RequestLoad(now, engine, workers,
               {.model = request.model,
                .adapter = model_loaded ? request.adapter : std::string(),
-               .waiting = HeldRequestCount(exchange.weights)},
+               .waiting = HeldRequestCount(exchange.weights),
+               .regions = exchange.allowed_regions.Text()},
               request.trace_id);
 }
 
@@ -120,6 +123,7 @@
 void RequestTable::PreloadModels(TimePoint now) {
   if (!m_state.config)
     return;
+  LoadDisplacedModels(now);
   for (const auto& [name, service] : m_state.config->config().services) {
     if (!service.engine)
       continue;
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -189,6 +189,8 @@
 void RequestTable::OnAdmitted(TimePoint now, Exchange& exchange) {
   m_metrics.quota_wait.Add(now - exchange.arrived);
   exchange.stage = ExchangeStage::kHeld;
+  if (!HasRoomAfterEvacuation(exchange))
+    return Refuse(now, exchange, ServingRefusal::kEvacuated);
   Dispatch(now, exchange);
 }
 
@@ -218,6 +220,7 @@
       (team == nullptr ? 0 : team->priority * kUrgencyPerPriority) +
       route->priority;
   exchange.urgency = std::min(priority, kMaxUrgency);
+  exchange.allowed_regions = AllowedRegions(*route, team);
   exchange.weights = WeightsName(request.model, request.adapter);
   exchange.cost = 1;
   if (team != nullptr && team->unit == QuotaUnit::kTokens) {
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -111,6 +111,8 @@
   // models without a local copy at any worker, and of models that fit into free
   // memory.
   void PreloadModels(TimePoint now);
+  // Requests loads of the models that only evacuated workers have loaded.
+  void LoadDisplacedModels(TimePoint now);
 
   TimePoint NextCheck() const;
   std::size_t open() const { return m_exchanges.size(); }
@@ -157,16 +159,37 @@
   // service. A worker resets connections beyond its limit for all routers.
   std::uint32_t ConnectionLimit(const Exchange& exchange) const;
   std::vector<Worker*> UsableWorkers(TimePoint now, const Exchange& exchange);
-  // Returns the time until the first worker of the service wants requests
-  // again, if all of them have asked for a pause.
-  std::optional<Duration> CommonPause(TimePoint now,
-                                      const std::string& service);
+  // Removes the workers to which the request must not be sent, because their
+  // data centre is evacuated or in a region where it may not run, or should not
+  // be, because it is about to be evacuated and another worker can run it.
+  void KeepPermitted(TimePoint now,
+                     const Exchange& exchange,
+                     std::vector<Worker*>& workers) const;
+  bool IsAllowed(const Exchange& exchange, const Worker& worker) const;
+  bool IsEvacuated(const Worker& worker) const;
+  // Returns why no ready worker may run the request, if that is so.
+  std::optional<ServingRefusal> RefusalOfPlaces(TimePoint now,
+                                                const Exchange& exchange);
+  // Whether the workers that are not evacuated can take one more request of
+  // this urgency, as far as this router knows.
+  bool HasRoomAfterEvacuation(const Exchange& exchange);
+  // Returns the models that only evacuated workers have loaded and that are
+  // requested, the most urgent first.
+  std::vector<std::string> DisplacedModels(
+      TimePoint now,
+      const std::string& service,
+      const std::vector<Worker*>& remaining);
+  // Returns the time until the first worker that may run the request wants
+  // requests again, if all of them have asked for a pause.
+  std::optional<Duration> CommonPause(TimePoint now, const Exchange& exchange);
   // Holds the request until a worker is usable, or rejects it if it is known
   // that none will be in time.
   void HoldOrReject(TimePoint now, Exchange& exchange);
-  // Workers that are not draining. Workers in backoff are included, since they
-  // can still load weights.
+  // Workers that are neither draining nor evacuated. Workers in backoff are
+  // included, since they can still load weights.
   std::vector<Worker*> ReadyWorkers(const std::string& service);
+  // Those in regions where the request may run.
+  std::vector<Worker*> ReadyWorkers(const Exchange& exchange);
   void LogLoadRequest(const LoadTarget& target,
                       const PlannedLoad& planned,
                       const std::string& requester);
--- a/source/core/serving/serving_config.h
+++ b/source/core/serving/serving_config.h
@@ -51,6 +51,9 @@
   std::uint32_t max_attempts = 1;
   // Callers need no key.
   bool is_public = false;
+  // The regions in which requests may run; empty: anywhere. A team's regions
+  // bind in addition.
+  std::vector<std::string> allowed_regions;
 
   // Whether a request may run more than once.
   bool IsRepeatable() const {
@@ -103,6 +106,9 @@
   std::int64_t rate_per_second = 0;
   std::int64_t burst = 0;
   std::vector<std::string> key_sha256;
+  // The regions in which requests may run; empty: anywhere. A route's regions
+  // bind in addition.
+  std::vector<std::string> allowed_regions;
 };
 
 // Size and time limits for callers' requests.
--- a/source/core/serving/serving_messages.h
+++ b/source/core/serving/serving_messages.h
@@ -82,6 +82,19 @@
   // How long the list's store may have been away at most.
   Duration outage = Duration::zero();
 };
+// The operator asks that no request be sent to the data centre's workers, by
+// the given revision of the store, or no longer asks so.
+struct EvacuationRequested {
+  std::string data_centre;
+  Revision revision = 0;
+};
+struct EvacuationEnded {
+  std::string data_centre;
+};
+// All evacuations were read: others than these have ended.
+struct EvacuationsSynced {
+  std::vector<std::string> data_centres;
+};
 // The current configuration was confirmed to be the newest at `at`.
 struct ConfigConfirmed {
   TimePoint at;
@@ -104,6 +117,9 @@
                                   WorkerListUnavailable,
                                   WorkerListRestored,
                                   ConfigConfirmed,
+                                  EvacuationRequested,
+                                  EvacuationEnded,
+                                  EvacuationsSynced,
                                   IncarnationReceived,
                                   RouterRecordReceived,
                                   RouterRecordRemoved,
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -160,6 +160,38 @@
   m_state.config_confirmed_at = event.at;
 }
 
+void ServingRouter::On(TimePoint now, const EvacuationRequested& event) {
+  const TimePoint effect = m_state.EvacuationEffect(now);
+  if (!m_state.evacuations.Request(now, event.data_centre, event.revision,
+                                   effect))
+    return;
+  const Duration left = std::max(Duration::zero(), effect - now);
+  m_state.Log(LogEvent::kEvacuationRequested,
+              {{"data_centre", event.data_centre},
+               {"revision", std::to_string(event.revision)},
+               {"in_effect_ms", FormatMilliseconds(left)}});
+  m_requests.DispatchHeld(now);
+  m_requests.LoadDisplacedModels(now);
+}
+
+void ServingRouter::On(TimePoint now, const EvacuationEnded& event) {
+  if (m_state.evacuations.End(event.data_centre))
+    OnEvacuationEnded(now, event.data_centre);
+}
+
+void ServingRouter::On(TimePoint now, const EvacuationsSynced& event) {
+  for (const std::string& data_centre :
+       m_state.evacuations.Sync(event.data_centres))
+    On(now, EvacuationEnded{.data_centre = data_centre});
+  m_requests.DispatchHeld(now);
+}
+
+void ServingRouter::OnEvacuationEnded(TimePoint now,
+                                      const std::string& data_centre) {
+  m_state.Log(LogEvent::kEvacuationEnded, {{"data_centre", data_centre}});
+  m_requests.DispatchHeld(now);
+}
+
 void ServingRouter::On(TimePoint now, const RouterRecordReceived& event) {
   if (m_state.fleet.Handle(now, event))
     m_requests.SendConvictions(now, event.record);
--- a/source/core/serving/serving_router.h
+++ b/source/core/serving/serving_router.h
@@ -50,6 +50,9 @@
   void On(TimePoint now, const WorkerListUnavailable& event);
   void On(TimePoint now, const WorkerListRestored& event);
   void On(TimePoint now, const ConfigConfirmed& event);
+  void On(TimePoint now, const EvacuationRequested& event);
+  void On(TimePoint now, const EvacuationEnded& event);
+  void On(TimePoint now, const EvacuationsSynced& event);
   void On(TimePoint now, const RouterRecordReceived& event);
   template <typename FleetEvent>
   void On(TimePoint now, const FleetEvent& event);
@@ -58,6 +61,8 @@
   void On(TimePoint now, const ServingTicked& event);
 
   void Unlist(TimePoint now, const std::string& id);
+  // The data centre's workers may be used again.
+  void OnEvacuationEnded(TimePoint now, const std::string& data_centre);
   // Removes workers whose entries expired during an outage of the worker list
   // and that were not listed again within the grace period.
   void RemoveMissingWorkers(TimePoint now);
--- a/source/core/serving/serving_state.h
+++ b/source/core/serving/serving_state.h
@@ -11,6 +11,8 @@
 #include "common/random.h"
 #include "common/time.h"
 #include "core/scheduling/response_flow.h"
+#include "core/serving/allowed_regions.h"
+#include "core/serving/evacuations.h"
 #include "core/serving/serving_config.h"
 #include "core/serving/serving_fleet.h"
 #include "core/serving/serving_messages.h"
@@ -41,6 +43,13 @@
   // A worker renews its entry in the list once in this time. The entry expires
   // after three times without a renewal.
   Duration worker_heartbeat = std::chrono::milliseconds(1'200);
+  // An evacuation of a data centre takes effect within this time after the
+  // operator's request.
+  Duration evacuation = std::chrono::seconds(5);
+  // Whether the list of evacuations is read from the store. No request is sent
+  // before it is known.
+  bool await_evacuations = false;
+  RegionMap regions = {};
   // Limits of the response bytes held for callers.
   ResponseFlowOptions response_flow = {};
   // New requests are still accepted for this long after a drain begins, until
@@ -57,7 +66,8 @@
         fleet({.vm = options.vm,
                .data_centre = options.data_centre,
                .endpoint = options.endpoint,
-               .quota_slack = options.quota_slack}) {}
+               .quota_slack = options.quota_slack}),
+        evacuations(options.await_evacuations) {}
 
   ServingOptions options;
   Random random;
@@ -68,6 +78,7 @@
   TimePoint config_confirmed_at = TimePoint{};
   bool config_confirmed = false;
   WorkerTable workers;
+  Evacuations evacuations;
   std::vector<ServingEffect> effects;
 
   void Emit(ServingEffect effect) { effects.push_back(std::move(effect)); }
@@ -75,6 +86,13 @@
     Emit(LogEffect{{.event = event, .fields = std::move(fields)}});
   }
 
+  // When an evacuation that becomes known now must have taken effect. The rest
+  // of its time is for requests that are on their way. An evacuation that was
+  // not known at the last confirmation was requested after it.
+  TimePoint EvacuationEffect(TimePoint now) const {
+    return config_confirmed ? config_confirmed_at + options.evacuation * 4 / 5
+                            : now;
+  }
   // The callers' keys are accepted for this long after a confirmation.
   Duration KeyConfirmationLifetime() const {
     return options.key_revocation * 9 / 10;
