Read evacuations and allowed regions from the store and settings

The keys of the store and the platform's fields are decoded into the core's events; the section [regions] of a gateway's settings names the region of each data centre, and evacuation_ms the time within which an evacuation takes effect. Nothing is sent before the list of evacuations was read once.

--- a/source/core/serving/request_evacuations.cc
+++ b/source/core/serving/request_evacuations.cc
@@ -1,6 +1,7 @@
 // RequestTable's choice of places: data centres that are not evacuated, and
 // regions in which the request may run.
 #include <algorithm>
+#include <tuple>
 
 #include "core/serving/request_table.h"
 
@@ -39,6 +40,8 @@
     return !m_state.evacuations.Permits(now, worker->entry.data_centre) ||
            !IsAllowed(exchange, *worker);
   });
+  if (m_state.evacuations.active().empty())
+    return;
   // An evacuation that hasn't taken effect yet yields to any other worker.
   const ServingRequest& request = *exchange.request;
   const bool can_run_elsewhere =
--- a/source/frontends/serving/serving_metrics.cc
+++ b/source/frontends/serving/serving_metrics.cc
@@ -68,6 +68,13 @@
   writer.Add("open_requests", router.requests().open());
   writer.Add("held_requests", router.requests().held());
   writer.Add("workers", state.workers.size());
+  for (const auto& [data_centre, evacuation] : state.evacuations.active()) {
+    writer.Add("evacuation_seconds",
+               ToSeconds(ReadBootClock() - evacuation.known_since),
+               "{data_centre=\"" + data_centre + "\"}");
+    writer.Add("evacuation_revision", evacuation.revision,
+               "{data_centre=\"" + data_centre + "\"}");
+  }
   writer.Add("config_version",
              state.config ? state.config->config().version : 0);
   writer.Add("key_proof_age_seconds",
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -44,6 +44,7 @@
   { P::kOperatorPrefix } -> std::convertible_to<std::string_view>;
   { P::kConfigKey } -> std::convertible_to<std::string_view>;
   { P::kWorkerPrefix } -> std::convertible_to<std::string_view>;
+  { P::kEvacuationPrefix } -> std::convertible_to<std::string_view>;
 };
 
 // Bounds the age of the last confirmation that a controller's configuration is
@@ -59,7 +60,7 @@
 inline Duration WorkerBatchDelay(const ServingSettings& settings) {
   return std::chrono::milliseconds(
              std::min({settings.config_apply_ms, settings.worker_drain_ms,
-                       settings.key_revocation_ms})) /
+                       settings.key_revocation_ms, settings.evacuation_ms})) /
          2;
 }
 // When many routers start, each one's watch would return for each record of the
@@ -287,6 +288,9 @@
         .retry_reserve = static_cast<double>(m_settings.retry_reserve),
         .quota_slack = m_settings.quota_slack,
         .worker_heartbeat = milliseconds(m_settings.worker_heartbeat_ms),
+        .evacuation = milliseconds(m_settings.evacuation_ms),
+        .await_evacuations = true,
+        .regions = m_settings.regions,
         .response_flow = {.pool_bytes = this->Memory().response_pool_bytes},
         .drain_limit = DrainLimit()};
   }
@@ -345,6 +349,10 @@
     try {
       if (item.key == Protocol::kConfigKey)
         HandleConfig(item);
+      else if (const auto evacuated = EvacuatedDataCentre(item.key))
+        m_machine.Post(EvacuationRequested{
+            .data_centre = *evacuated,
+            .revision = static_cast<Revision>(item.revision)});
       else if (item.key.starts_with(Protocol::kWorkerPrefix))
         m_machine.Post(
             WorkerListed{.entry = Protocol::DecodeWorker(
@@ -368,6 +376,14 @@
   static std::string WorkerIdFromKey(const std::string& key) {
     return key.substr(std::string_view(Protocol::kWorkerPrefix).size());
   }
+  // Returns the data centre whose evacuation the key requests, if any.
+  static std::optional<std::string> EvacuatedDataCentre(
+      const std::string& key) {
+    constexpr std::string_view kPrefix = Protocol::kEvacuationPrefix;
+    if (!key.starts_with(kPrefix) || key.size() == kPrefix.size())
+      return std::nullopt;
+    return key.substr(kPrefix.size());
+  }
   static std::string RouterVmFromKey(const std::string& key) {
     return key.substr(std::string_view(kRouterPrefix).size());
   }
@@ -388,6 +404,8 @@
     m_rejected_keys.Remove(removed.key);
     if (removed.key.starts_with(Protocol::kWorkerPrefix))
       m_machine.Post(WorkerUnlisted{.id = WorkerIdFromKey(removed.key)});
+    else if (const auto evacuated = EvacuatedDataCentre(removed.key))
+      m_machine.Post(EvacuationEnded{.data_centre = *evacuated});
     else if (removed.key.starts_with(kRouterPrefix))
       m_machine.Post(RouterRecordRemoved{
           .vm = RouterVmFromKey(removed.key),
@@ -395,15 +413,19 @@
   }
   void Handle(const std::string& /*prefix*/, const KeysSynced& synced) {
     m_rejected_keys.Retain(synced.keys);
+    EvacuationsSynced evacuations;
     WorkersSynced workers;
     RouterRecordsSynced routers{.revision =
                                     static_cast<Revision>(synced.revision)};
     for (const std::string& key : synced.keys) {
       if (key.starts_with(Protocol::kWorkerPrefix))
         workers.ids.push_back(WorkerIdFromKey(key));
+      else if (const auto evacuated = EvacuatedDataCentre(key))
+        evacuations.data_centres.push_back(*evacuated);
       else if (key.starts_with(kRouterPrefix))
         routers.vms.push_back(RouterVmFromKey(key));
     }
+    m_machine.Post(std::move(evacuations));
     m_machine.Post(std::move(workers));
     m_machine.Post(std::move(routers));
   }
--- a/source/frontends/serving/serving_settings.cc
+++ b/source/frontends/serving/serving_settings.cc
@@ -36,6 +36,7 @@
           .key_revocation_ms = reader.ReadLimit(kKeyRevocationMs),
           .config_apply_ms = reader.ReadLimit(kConfigApplyMs),
           .worker_drain_ms = reader.ReadLimit(kWorkerDrainMs),
+          .evacuation_ms = reader.ReadLimit(kEvacuationMs),
           .worker_heartbeat_ms = reader.ReadLimit(kWorkerHeartbeatMs),
           .retry_percent = reader.ReadNumber(kRetryPercent),
           .retry_reserve = reader.ReadLimit(kRetryReserve),
@@ -43,7 +44,8 @@
           .weight_store_loads = reader.ReadNumber(kWeightStoreLoads),
           .grace_s = reader.ReadLimit(kGraceS),
           .memory_mb = reader.ReadLimit(kMemoryMb),
-          .log_decisions = reader.ReadFlag(kLogDecisions)};
+          .log_decisions = reader.ReadFlag(kLogDecisions),
+          .regions = reader.ReadTable(kRegions)};
 }
 
 struct NamedValue {
@@ -57,6 +59,13 @@
           .value = std::move(value)};
 }
 
+std::string FormatTable(const std::map<std::string, std::string>& table) {
+  std::string text;
+  for (const auto& [key, value] : table)
+    text += key + "=" + value + "\n";
+  return text;
+}
+
 std::vector<NamedValue> ListValues(const ServingSettings& values) {
   using namespace serving_settings;
   return {
@@ -74,6 +83,7 @@
                      std::to_string(values.key_revocation_ms)),
       MakeNamedValue(kConfigApplyMs, std::to_string(values.config_apply_ms)),
       MakeNamedValue(kWorkerDrainMs, std::to_string(values.worker_drain_ms)),
+      MakeNamedValue(kEvacuationMs, std::to_string(values.evacuation_ms)),
       MakeNamedValue(kWorkerHeartbeatMs,
                      std::to_string(values.worker_heartbeat_ms)),
       MakeNamedValue(kRetryPercent, std::to_string(values.retry_percent)),
@@ -83,7 +93,9 @@
                      std::to_string(values.weight_store_loads)),
       MakeNamedValue(kGraceS, std::to_string(values.grace_s)),
       MakeNamedValue(kMemoryMb, std::to_string(values.memory_mb)),
-      MakeNamedValue(kLogDecisions, values.log_decisions ? "true" : "false")};
+      MakeNamedValue(kLogDecisions, values.log_decisions ? "true" : "false"),
+      {.name = std::string(kRegions.section),
+       .value = FormatTable(values.regions)}};
 }
 
 void CheckEndpoints(SettingsReader& reader, const ServingSettings& values) {
--- a/source/frontends/serving/serving_settings.h
+++ b/source/frontends/serving/serving_settings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include "common/enum_table.h"
@@ -56,6 +57,10 @@
     "limits",  "worker_drain_ms",
     2'000,     100,
     3'600'000, "a worker that is leaving gets no new requests after this time"};
+inline constexpr LimitSetting kEvacuationMs{
+    "limits",  "evacuation_ms",
+    5'000,     100,
+    3'600'000, "an evacuation of a data centre takes effect within this time"};
 inline constexpr LimitSetting kWorkerHeartbeatMs{
     "limits", "worker_heartbeat_ms",
     1'200,    10,
@@ -93,6 +98,9 @@
     "log", "decisions", true, false,
     "a line for each decision about a request"};
 
+inline constexpr TableSetting kRegions{
+    "regions", "the region of each data centre, one a line (gateway)"};
+
 }  // namespace serving_settings
 
 struct ServingSettings {
@@ -111,6 +119,7 @@
   std::int64_t key_revocation_ms = 0;
   std::int64_t config_apply_ms = 0;
   std::int64_t worker_drain_ms = 0;
+  std::int64_t evacuation_ms = 0;
   std::int64_t worker_heartbeat_ms = 0;
   std::int64_t retry_percent = 0;
   std::int64_t retry_reserve = 0;
@@ -119,6 +128,8 @@
   std::int64_t grace_s = 0;
   std::int64_t memory_mb = 0;
   bool log_decisions = true;
+  // By data centre.
+  std::map<std::string, std::string> regions;
   // The limits whose values in the file could not be used as they are, as
   // comma-separated "section.key: 'given' used as 1".
   std::string adjusted;
--- a/source/frontends/settings.h
+++ b/source/frontends/settings.h
@@ -46,6 +46,12 @@
   std::string_view help;
 };
 
+// A section whose keys are names that the file chooses.
+struct TableSetting {
+  std::string_view section;
+  std::string_view help;
+};
+
 using TextSetting = Setting<std::string_view>;
 using FlagSetting = Setting<bool>;
 
--- a/source/frontends/settings_reader.h
+++ b/source/frontends/settings_reader.h
@@ -36,8 +36,9 @@
 // A declared setting of any type, as it appears in a settings file.
 struct DeclaredSetting {
   std::string section;
-  std::string key;
-  std::string default_text;
+  // Empty for a section whose keys the file chooses.
+  std::string key = {};
+  std::string default_text = {};
   std::string help;
 };
 
@@ -160,6 +161,24 @@
     return used == number ? limit : Adjust(setting, *value, limit);
   }
 
+  // Returns the values of all keys in the section.
+  std::map<std::string, std::string> ReadTable(const TableSetting& setting) {
+    const std::string section(setting.section);
+    m_known[section];
+    m_declared.push_back(
+        {.section = section, .help = std::string(setting.help)});
+    std::map<std::string, std::string> table;
+    gsize key_count = 0;
+    gchar** keys = g_key_file_get_keys(m_key_file.get(), section.c_str(),
+                                       &key_count, nullptr);
+    for (gsize i = 0; i < key_count; ++i) {
+      m_known[section].insert(keys[i]);
+      table[keys[i]] = FindValue(section, keys[i]).value_or("");
+    }
+    g_strfreev(keys);
+    return table;
+  }
+
   void Check(bool valid,
              std::string_view section,
              std::string_view key,
@@ -303,8 +322,9 @@
       section = declared.section;
       text += (text.empty() ? "[" : "\n[") + section + "]\n";
     }
-    text += "# " + declared.help + "\n" + declared.key + " = " +
-            declared.default_text + "\n";
+    text += "# " + declared.help + "\n";
+    if (!declared.key.empty())
+      text += declared.key + " = " + declared.default_text + "\n";
   }
   return text;
 }
--- a/source/unit_tests/core/serving/fleet_placement_test.cc
+++ b/source/unit_tests/core/serving/fleet_placement_test.cc
@@ -72,6 +72,44 @@
   EXPECT_LE(fleet.store().most(), kFullSpeed);
 }
 
+// Evacuates one data centre of a loaded fleet. Returns the served part of the
+// requests after it, compared with the time before.
+double ServedAfterEvacuation(std::size_t models, std::size_t data_centres) {
+  FleetSimulation fleet({.engines = 12,
+                         .routers = 4,
+                         .models = models,
+                         .copies = 2,
+                         .store_full_speed = kFullSpeed,
+                         .seed = 13,
+                         .data_centres = data_centres});
+  fleet.Pass(seconds(5));
+  Serve(fleet, models, 40, seconds(20));
+  fleet.ServedPart();
+  Serve(fleet, models, 40, seconds(20));
+  fleet.Pass(seconds(3));
+  const double before = fleet.ServedPart();
+  fleet.Evacuate("a");
+  Serve(fleet, models, 40, seconds(20));
+  fleet.Pass(seconds(3));
+  EXPECT_EQ(fleet.late_requests(), 0);
+  EXPECT_EQ(Text(fleet.Starved()), "");
+  EXPECT_LE(fleet.store().most(), kFullSpeed);
+  return fleet.ServedPart() / before;
+}
+
+// Each model has a copy on a disk of the other data centre, which loads it
+// before the evacuation takes effect.
+TEST(FleetPlacement, ModelsOfAnEvacuatedDataCentreMove) {
+  EXPECT_GT(ServedAfterEvacuation(/*models=*/12, /*data_centres=*/2), 0.97);
+}
+
+// All copies of a third of the models are in the evacuated data centre. The
+// weight store needs 31 s to load them, during which some requests for the last
+// ones are refused.
+TEST(FleetPlacement, ModelsOfAnEvacuatedDataCentreComeFromTheStore) {
+  EXPECT_GT(ServedAfterEvacuation(/*models=*/24, /*data_centres=*/3), 0.85);
+}
+
 // Simulates a random fleet whose engines crash at random times and whose
 // messages are lost. Returns the models and adapters that were requested
 // steadily and never served.
--- a/source/unit_tests/core/serving/fleet_simulation.h
+++ b/source/unit_tests/core/serving/fleet_simulation.h
@@ -186,6 +186,8 @@
   // determine it themselves.
   std::size_t store_loads = 2;
   std::uint64_t seed = 1;
+  // The engines are spread over this many data centres "a", "b" and so on.
+  std::size_t data_centres = 1;
 };
 
 // Counts the requests for one model or adapter.
@@ -289,6 +291,21 @@
     });
   }
 
+  // The operator asks to evacuate a data centre. The routers learn of it one
+  // after the other.
+  void Evacuate(const std::string& data_centre) {
+    m_evacuated_at[data_centre] = m_now;
+    for (auto& router : m_routers) {
+      After(m_options.data_centres * kNetworkDelay *
+                static_cast<int>(m_random.Below(100)),
+            [this, &router, data_centre] {
+              Feed(*router, EvacuationRequested{.data_centre = data_centre});
+            });
+    }
+  }
+  // Requests that were sent to an evacuated data centre after the bound.
+  int late_requests() const { return m_late_requests; }
+
   // The router that is the slot coordinator of the weight store stops
   // responding, but stays in the other routers' lists.
   void SilenceSlotCoordinator() {
@@ -301,6 +318,16 @@
       router->silent = router->silent || router->vm == coordinator;
   }
 
+  // Returns the part of the requests since the last call that were served.
+  double ServedPart() {
+    int requested = 0;
+    int served = 0;
+    for (const auto& [name, stats] : std::exchange(m_stats, {})) {
+      requested += stats.requested;
+      served += stats.served;
+    }
+    return static_cast<double>(served) / std::max(1, requested);
+  }
   // Returns the models and adapters that were requested at least four times
   // over at least eight seconds and never served.
   std::vector<std::string> Starved() const {
@@ -427,12 +454,21 @@
              WorkerListed{.entry = {.id = node->id,
                                     .service = "engines",
                                     .address = node->ip + ":80",
-                                    .data_centre = "a",
+                                    .data_centre = DataCentre(node->id),
+                                    .slots = m_spec.slots,
                                     .contents = node->engine.contents}});
       }
+      if (m_options.data_centres > 1 && m_evacuated_at.empty())
+        Feed(*router, ConfigConfirmed{.at = m_now});
     }
   }
 
+  std::string DataCentre(const std::string& engine) const {
+    const std::size_t index = std::stoul(engine.substr(1));
+    return std::string(1,
+                       static_cast<char>('a' + index % m_options.data_centres));
+  }
+
   void Feed(Node& node, ControllerEvent event) {
     std::deque<ControllerEvent> events{std::move(event)};
     while (!events.empty()) {
@@ -500,6 +536,10 @@
     const auto found = std::ranges::find_if(
         m_nodes, [&](const auto& node) { return node->id == attempt.worker; });
     Node& node = **found;
+    const auto evacuated = m_evacuated_at.find(DataCentre(node.id));
+    if (evacuated != m_evacuated_at.end() &&
+        m_now - evacuated->second > std::chrono::seconds(4))
+      ++m_late_requests;
     const AttemptNumber number = attempt.attempt;
     const std::string model = attempt.request->model;
     const std::string adapter = attempt.request->adapter;
@@ -541,6 +581,8 @@
   RequestId m_last_request = 0;
   std::map<RequestId, std::string> m_names;
   std::map<std::string, RequestStats> m_stats;
+  std::map<std::string, TimePoint> m_evacuated_at;
+  int m_late_requests = 0;
 };
 
 }  // namespace boragepick
--- a/source/unit_tests/frontends/serving_settings_test.cc
+++ b/source/unit_tests/frontends/serving_settings_test.cc
@@ -105,6 +105,18 @@
   EXPECT_THROW(parse("[limits]\nweight_store_loads = -1\n"), Error);
 }
 
+TEST(ServingSettings, RegionsAreATableOfDataCentres) {
+  const ServingSettings settings = ParseServingSettings(
+      GatewayFile("[regions]\n\nkitami-a = okhotsk\n\ntanno = okhotsk\n"),
+      "g.ini");
+  const std::map<std::string, std::string> expected{{"kitami-a", "okhotsk"},
+                                                    {"tanno", "okhotsk"}};
+  EXPECT_EQ(settings.regions, expected);
+  EXPECT_TRUE(ParseServingSettings(GatewayFile(), "g.ini").regions.empty());
+  const ServingSettings none = ParseServingSettings(GatewayFile(), "g.ini");
+  EXPECT_EQ(CompareSettings(none, settings).need_restart, "regions");
+}
+
 TEST(ServingSettings, AReloadListsSettingsThatNeedARestart) {
   const ServingSettings running = ParseServingSettings(GatewayFile(), "g.ini");
   EXPECT_EQ(running.file, "g.ini");
