Keep revisions, leases and shares right when the store comes back from a copy

The store may return to an older state, gives out its revisions and leases again and raises its era. New event 615, metrics store_era and store_reverts_total.

--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -176,6 +176,9 @@
       {LogEvent::kWorkerMissing, kInfo, kFeed, "worker_missing",
        "A worker is not in the list after an outage of the platform in which "
        "its entry may have expired; it is used for a moment longer."},
+      {LogEvent::kStoreReverted, kWarning, kFeed, "store_reverted",
+       "The store came back from an older copy; fields give its eras and the "
+       "time since its last answer under the old one."},
       {LogEvent::kPeerFrameRejected, kWarning, kPeers, "peer_frame_rejected",
        "A frame on the peer port could not be decoded and was dropped."},
       {LogEvent::kUpstreamSilent, kWarning, kPeers, "upstream_silent",
--- a/source/common/log_event.h
+++ b/source/common/log_event.h
@@ -96,6 +96,7 @@
   kWorkerPaused = 612,
   kWatchCut = 613,
   kWorkerMissing = 614,
+  kStoreReverted = 615,
   kPeerFrameRejected = 700,
   kUpstreamSilent = 701,
 };
--- a/source/core/engine/engine_controller.cc
+++ b/source/core/engine/engine_controller.cc
@@ -99,6 +99,10 @@
 }
 
 void EngineController::On(TimePoint now, EngineSpecReceived& event) {
+  // A store that came back from an older copy may have an older configuration.
+  if (event.version < m_spec_version)
+    return;
+  m_spec_version = event.version;
   m_spec = std::move(event.spec);
   SendNextOrder(now);
 }
--- a/source/core/engine/engine_controller.h
+++ b/source/core/engine/engine_controller.h
@@ -97,6 +97,8 @@
 };
 struct EngineSpecReceived {
   EngineSpec spec;
+  // The version of the configuration.
+  std::uint64_t version = 0;
 };
 struct FenceReceived {
   // Empty if the platform did not answer.
@@ -255,6 +257,7 @@
       std::chrono::milliseconds(1'200);
 
   std::string m_vm;
+  std::uint64_t m_spec_version = 0;
   std::optional<std::uint64_t> m_fence;
   bool m_fence_requested = false;
   TimePoint m_next_fence_request = TimePoint{};
--- a/source/core/quota/quota_manager.cc
+++ b/source/core/quota/quota_manager.cc
@@ -58,8 +58,13 @@
 std::uint32_t QuotaManager::EffectiveUnits(std::uint32_t page) const {
   const auto stored = m_pages.find(page);
   std::uint32_t units =
-      stored == m_pages.end() ? 0 : UnitsOf(stored->second, m_self);
-  if (m_pending_write && m_pending_write->page == page)
+      stored == m_pages.end()
+          ? 0
+          : m_recovery.UsableUnits(stored->second,
+                                   UnitsOf(stored->second, m_self));
+  // While shares are reclaimed, no write changes what may be used.
+  const bool reclaiming = m_recovery.IsReclaiming();
+  if (!reclaiming && m_pending_write && m_pending_write->page == page)
     units = std::min(units, UnitsOf(*m_pending_write, m_self));
   return units;
 }
@@ -175,6 +180,7 @@
 }
 
 std::vector<OutgoingLoanRequest> QuotaManager::Poll(TimePoint now) {
+  EndRecovery(now);
   std::vector<OutgoingLoanRequest> out;
   for (auto& [name, team] : m_teams)
     PollTeam(now, name, team, out);
@@ -313,6 +319,47 @@
   return m_pending_write;
 }
 
+void QuotaManager::OnStoreReverted(TimePoint now, StoreEra era) {
+  std::map<std::uint32_t, std::uint32_t> held;
+  for (auto& [number, page] : m_pages) {
+    held[number] = EffectiveUnits(number);
+    // Any stored page replaces this one. If there is none, it is written again.
+    page.revision = 0;
+  }
+  m_pending_write.reset();
+  m_recovery.OnStoreReverted(now, era, std::move(held));
+}
+
+void QuotaManager::EndRecovery(TimePoint now) {
+  if (!m_recovery.EndSettling(now))
+    return;
+  for (const auto& [number, page] : m_pages)
+    ConfigureBucketsOfPage(now, number, TokenBucket::InitialLevel::kEmpty);
+}
+
+std::optional<SharePage> QuotaManager::PlanNext(TimePoint now,
+                                                const SharePage& page,
+                                                const Roster& roster,
+                                                bool draining) {
+  if (m_recovery.IsReclaiming()) {
+    if (draining)
+      m_recovery.GiveUp(page.page);
+    return PlanReclaimedShare(now, m_self, page, roster,
+                              m_recovery.HeldBefore(page.page));
+  }
+  if (m_recovery.IsUnsettled(page))
+    return std::nullopt;
+  std::optional<SharePage> next =
+      PlanSharePage(now, m_self, page, roster, draining);
+  const bool settles =
+      page.settled_era < m_recovery.era() && UnitsOf(page, m_self) > 0;
+  if (!next && settles)
+    next = page;
+  if (next)
+    next->settled_era = m_recovery.era();
+  return next;
+}
+
 std::optional<SharePage> QuotaManager::PlanPage(TimePoint now,
                                                 const Roster& roster,
                                                 bool draining) {
@@ -333,8 +380,7 @@
     SharePage page{.page = number};
     if (const auto known = m_pages.find(number); known != m_pages.end())
       page = known->second;
-    std::optional<SharePage> next =
-        PlanSharePage(now, m_self, page, roster, draining);
+    std::optional<SharePage> next = PlanNext(now, page, roster, draining);
     if (!next)
       continue;
     m_pending_write = next;
--- a/source/core/quota/quota_manager.h
+++ b/source/core/quota/quota_manager.h
@@ -13,6 +13,7 @@
 #include "core/platform_call.h"
 #include "core/quota/quota_messages.h"
 #include "core/quota/share_page.h"
+#include "core/quota/share_recovery.h"
 #include "core/quota/token_bucket.h"
 #include "core/quota/token_reserve.h"
 #include "core/roster/roster.h"
@@ -88,6 +89,14 @@
                          WriteOutcome outcome,
                          Revision revision);
 
+  // The era of the store's first answer to this process.
+  void OnStoreEraObserved(TimePoint now, StoreEra era) {
+    m_recovery.OnEraObserved(now, era);
+  }
+  // The store has come back from an older copy. Until all stored pages have
+  // been applied again, the caller must not call PlanPage.
+  void OnStoreReverted(TimePoint now, StoreEra era);
+
   bool HoldsShares() const;
   // The part of the team's rate, in tokens per second, that this router may
   // lend or admit. Shown in the status document.
@@ -151,6 +160,12 @@
                          Team& team,
                          std::vector<OutgoingLoanRequest>& out);
   bool PageHasTeams(std::uint32_t page) const;
+  // The next content of one page, if it has to change.
+  std::optional<SharePage> PlanNext(TimePoint now,
+                                    const SharePage& page,
+                                    const Roster& roster,
+                                    bool draining);
+  void EndRecovery(TimePoint now);
   std::optional<SharePage> RetryWrite(TimePoint now);
 
   ProcessId m_self;
@@ -158,6 +173,7 @@
   std::map<std::string, Team> m_teams;
   std::map<std::uint32_t, SharePage> m_pages;
   std::optional<SharePage> m_pending_write;
+  ShareRecovery m_recovery;
   // When to retry a write whose outcome is unknown.
   TimePoint m_write_retry_at = kNever;
 };
--- a/source/core/quota/share_page.cc
+++ b/source/core/quota/share_page.cc
@@ -115,4 +115,20 @@
   return next;
 }
 
+std::optional<SharePage> PlanReclaimedShare(TimePoint now,
+                                            const ProcessId& self,
+                                            const SharePage& page,
+                                            const Roster& roster,
+                                            std::uint32_t wanted) {
+  SharePage next = page;
+  RemoveGoneHolders(now, self, roster, next);
+  const std::uint32_t own = UnitsOf(next, self);
+  const std::uint32_t free = kShareUnits - HeldUnits(next);
+  const std::uint32_t units = std::min(wanted, own + free);
+  if (units == UnitsOf(page, self))
+    return std::nullopt;
+  SetUnits(next, self, units);
+  return next;
+}
+
 }  // namespace boragepick
--- a/source/core/quota/share_page.h
+++ b/source/core/quota/share_page.h
@@ -11,6 +11,7 @@
 
 #include "core/config/resources.h"
 #include "core/roster/roster.h"
+#include "core/store/store_revision.h"
 
 namespace boragepick {
 
@@ -38,6 +39,9 @@
   // is compared with. 0: never written.
   Revision revision = 0;
   std::vector<ShareHolder> holders;
+  // The era of the store in which all holders were last known to be on the
+  // page. In a later era, holders may be missing: see ShareRecovery.
+  StoreEra settled_era = 0;
 };
 
 // Returns the number of the page that holds `team`.
@@ -60,4 +64,12 @@
                                        const Roster& roster,
                                        bool draining);
 
+// The same while shares are reclaimed after the store has come back from an
+// older copy: the share becomes `wanted`, or as much of it as is free.
+std::optional<SharePage> PlanReclaimedShare(TimePoint now,
+                                            const ProcessId& self,
+                                            const SharePage& page,
+                                            const Roster& roster,
+                                            std::uint32_t wanted);
+
 }  // namespace boragepick
--- a/source/core/serving/serving_fleet.cc
+++ b/source/core/serving/serving_fleet.cc
@@ -4,6 +4,7 @@
 
 #include "common/hashing.h"
 #include "core/scheduling/slot_semaphore.h"
+#include "core/store/leased_record.h"
 
 namespace boragepick {
 
@@ -46,6 +47,7 @@
   m_quota.emplace(
       ProcessId{.vm = m_options.vm, .incarnation = event.incarnation},
       kEarlyShareFraction);
+  m_quota->OnStoreEraObserved(now, m_store_era);
   Emit(PublishRouterRecord{.record = {.vm = m_options.vm,
                                       .data_centre = m_options.data_centre,
                                       .endpoint = m_options.endpoint,
@@ -57,7 +59,10 @@
 
 bool ServingFleet::Handle(TimePoint now, const RouterRecordReceived& event) {
   RouterRecord& record = m_records[event.record.vm];
-  if (record == event.record)
+  m_lost_records.erase(event.record.vm);
+  // An older copy of the store may have the record of an earlier run.
+  const bool outdated = event.record.incarnation < record.incarnation;
+  if (record == event.record || outdated)
     return false;
   record = event.record;
   m_roster.RecordRun(record.vm, record.incarnation);
@@ -66,14 +71,20 @@
 }
 
 void ServingFleet::Handle(TimePoint now, const RouterRecordRemoved& event) {
+  m_lost_records.erase(event.vm);
   if (m_records.erase(event.vm) > 0)
     ApplyRoster(now, event.revision);
 }
 
 void ServingFleet::Handle(TimePoint now, const RouterRecordsSynced& event) {
   m_synced = true;
+  const bool may_be_rewritten = now < m_rewrite_deadline;
   const std::size_t removed = std::erase_if(m_records, [&](const auto& entry) {
-    return std::ranges::find(event.vms, entry.first) == event.vms.end();
+    const bool missing =
+        std::ranges::find(event.vms, entry.first) == event.vms.end();
+    if (missing && may_be_rewritten)
+      m_lost_records.insert(entry.first);
+    return missing && !may_be_rewritten;
   });
   if (removed > 0)
     ApplyRoster(now, event.revision);
@@ -96,6 +107,30 @@
                              {"vms", std::to_string(list.entries.size())}}}});
 }
 
+void ServingFleet::RemoveLostRecords(TimePoint now) {
+  if (m_lost_records.empty() || now < m_rewrite_deadline)
+    return;
+  for (const std::string& vm : std::exchange(m_lost_records, {}))
+    m_records.erase(vm);
+  ApplyRoster(now, m_records_revision);
+}
+
+void ServingFleet::Handle(TimePoint now, const StoreEraObserved& event) {
+  m_store_era = event.era;
+  if (m_quota)
+    m_quota->OnStoreEraObserved(now, event.era);
+}
+
+void ServingFleet::Handle(TimePoint now, const StoreReverted& event) {
+  m_store_era = event.era;
+  m_rewrite_deadline = now + LeasedRecord::kLeaseTtl;
+  // Shares are planned after the next complete read.
+  m_synced = false;
+  m_early_pages.clear();
+  if (m_quota)
+    m_quota->OnStoreReverted(now, event.era);
+}
+
 void ServingFleet::Handle(TimePoint now, const SharePageReceived& event) {
   if (m_quota)
     return m_quota->ApplyPage(now, event.page);
@@ -202,6 +237,7 @@
 }
 
 void ServingFleet::Tick(TimePoint now) {
+  RemoveLostRecords(now);
   if (!m_quota)
     return;
   if (now >= m_next_poll) {
--- a/source/core/serving/serving_fleet.h
+++ b/source/core/serving/serving_fleet.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -18,6 +19,7 @@
 #include "core/quota/quota_manager.h"
 #include "core/roster/roster.h"
 #include "core/serving/serving_config.h"
+#include "core/store/store_revision.h"
 
 namespace boragepick {
 
@@ -87,6 +89,8 @@
   bool Handle(TimePoint now, const RouterRecordReceived& event);
   void Handle(TimePoint now, const RouterRecordRemoved& event);
   void Handle(TimePoint now, const RouterRecordsSynced& event);
+  void Handle(TimePoint now, const StoreEraObserved& event);
+  void Handle(TimePoint now, const StoreReverted& event);
   void Handle(TimePoint now, const SharePageReceived& event);
   void Handle(TimePoint now, const SharePageWritten& event);
   void Handle(TimePoint now,
@@ -139,6 +143,9 @@
   };
 
   void ApplyRoster(TimePoint now, Revision revision);
+  // Removes the routers whose records were not written again after the store
+  // came back from an older copy.
+  void RemoveLostRecords(TimePoint now);
   void SetTeams(TimePoint now);
   std::int64_t InitialTokens() const;
   void Emit(FleetEffect effect) { m_effects.push_back(std::move(effect)); }
@@ -146,6 +153,11 @@
   FleetOptions m_options;
   std::map<std::string, RouterRecord> m_records;
   Revision m_records_revision = 0;
+  // Routers whose records were missing when the store came back from an older
+  // copy, and until when they have time to write them again.
+  std::set<std::string> m_lost_records;
+  TimePoint m_rewrite_deadline = TimePoint{};
+  StoreEra m_store_era = 0;
   Roster m_roster;
   std::map<std::string, Team> m_teams;
   std::optional<QuotaManager> m_quota;
--- a/source/core/serving/serving_messages.h
+++ b/source/core/serving/serving_messages.h
@@ -15,6 +15,7 @@
 #include "core/serving/serving_fleet.h"
 #include "core/serving/serving_request.h"
 #include "core/serving/worker_entry.h"
+#include "core/store/store_revision.h"
 
 namespace boragepick {
 
@@ -104,6 +105,8 @@
                                   WorkerListUnavailable,
                                   WorkerListRestored,
                                   ConfigConfirmed,
+                                  StoreEraObserved,
+                                  StoreReverted,
                                   IncarnationReceived,
                                   RouterRecordReceived,
                                   RouterRecordRemoved,
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -74,7 +74,9 @@
 
 void ServingRouter::On(TimePoint now, ConfigReceived& event) {
   const std::uint64_t version = event.config->config().version;
-  // A late or stale reply must not restore an older configuration.
+  m_stored_config_version = version;
+  // A late or stale reply, or a store that came back from an older copy, must
+  // not restore an older configuration.
   if (m_state.config && version <= m_state.config->config().version)
     return;
   m_state.config = std::move(event.config);
@@ -156,10 +158,25 @@
 void ServingRouter::On(TimePoint /*now*/, const ConfigConfirmed& event) {
   if (m_state.config_confirmed && event.at <= m_state.config_confirmed_at)
     return;
+  // Versions newer than the stored one were lost and are yet to be written
+  // again, possibly followed by a newer one.
+  if (m_state.config &&
+      m_stored_config_version < m_state.config->config().version)
+    return;
   m_state.config_confirmed = true;
   m_state.config_confirmed_at = event.at;
 }
 
+void ServingRouter::On(TimePoint now, const StoreReverted& event) {
+  m_relist_until = std::max(m_relist_until, now + kRelistGrace);
+  // Entries may be back from before their workers drained.
+  for (const auto& [id, worker] : m_state.workers.workers()) {
+    if (worker.entry.state == WorkerState::kDraining)
+      m_state.workers.RecordLeaving(now, id, worker.entry.contents.born);
+  }
+  m_state.fleet.Handle(now, event);
+}
+
 void ServingRouter::On(TimePoint now, const RouterRecordReceived& event) {
   if (m_state.fleet.Handle(now, event))
     m_requests.SendConvictions(now, event.record);
--- a/source/core/serving/serving_router.h
+++ b/source/core/serving/serving_router.h
@@ -2,6 +2,7 @@
 // without I/O that handles events and returns effects.
 #pragma once
 
+#include <cstdint>
 #include <set>
 #include <string>
 #include <vector>
@@ -50,6 +51,7 @@
   void On(TimePoint now, const WorkerListUnavailable& event);
   void On(TimePoint now, const WorkerListRestored& event);
   void On(TimePoint now, const ConfigConfirmed& event);
+  void On(TimePoint now, const StoreReverted& event);
   void On(TimePoint now, const RouterRecordReceived& event);
   template <typename FleetEvent>
   void On(TimePoint now, const FleetEvent& event);
@@ -81,6 +83,9 @@
   TimePoint m_drain_started_at = kNever;
   TimePoint m_next_preload = TimePoint{};
   TimePoint m_last_worker_added_at = TimePoint{};
+  // The version of the stored configuration, which is older than the one in
+  // force if the store came back from an older copy.
+  std::uint64_t m_stored_config_version = 0;
   bool m_list_unavailable = false;
   // The latest outage of the worker list, and when it ended. Outages between
   // which workers may not have renewed their entries count as one.
--- a/source/core/store/key_watcher.cc
+++ b/source/core/store/key_watcher.cc
@@ -9,6 +9,7 @@
 // A store that is away may end a new connection at once. A watch that waited
 // for longer than this was accepted.
 constexpr Duration kMinAcceptedWait = std::chrono::milliseconds(100);
+constexpr std::string_view kOldEra = "answer of an older era";
 
 }  // namespace
 
@@ -34,6 +35,22 @@
   return ReadStorePage{.prefix = m_options.prefix, .after = m_last_key};
 }
 
+void KeyWatcher::RestartRead() {
+  m_phase = Phase::kReading;
+  m_last_key.clear();
+}
+
+void KeyWatcher::OnEra(TimePoint now, StoreEra era) {
+  if (era <= m_era)
+    return;
+  m_era = era;
+  // No call is pending between two watches.
+  if (m_phase != Phase::kWatching || m_next_tick == kNever)
+    return;
+  RestartRead();
+  m_next_tick = now;
+}
+
 void KeyWatcher::ScheduleRetry(TimePoint now) {
   m_retry_delay = std::clamp(m_retry_delay * 2, m_options.retry_delay,
                              m_options.max_retry_delay);
@@ -65,11 +82,24 @@
     const std::optional<StorePage>& page) {
   std::vector<WatcherEffect> effects;
   if (!page) {
-    m_last_key.clear();
+    RestartRead();
     HandleFailure(now, effects, "read failed");
     return effects;
   }
+  const StoreEra era = EraOf(page->revision);
+  if (era < m_era) {
+    RestartRead();
+    HandleFailure(now, effects, kOldEra);
+    return effects;
+  }
   HandleReachable(now, effects);
+  m_era = era;
+  // The pages of one read must be of one history.
+  if (m_read_revision && EraOf(*m_read_revision) != era) {
+    RestartRead();
+    effects.push_back(MakeCall(now));
+    return effects;
+  }
   if (!m_read_revision)
     m_read_revision = page->revision;
   for (const StoreItem& item : page->items) {
@@ -103,7 +133,20 @@
 std::vector<WatcherEffect> KeyWatcher::OnChanges(TimePoint now,
                                                  const StoreChanges& changes) {
   std::vector<WatcherEffect> effects;
+  const StoreEra era = EraOf(changes.revision);
+  if (era < m_era) {
+    RestartRead();
+    HandleFailure(now, effects, kOldEra);
+    return effects;
+  }
   HandleReachable(now, effects);
+  m_era = era;
+  // The changes follow a revision of another history.
+  if (EraOf(m_revision) != era) {
+    RestartRead();
+    effects.push_back(MakeCall(now));
+    return effects;
+  }
   for (const StoreChange& change : changes.changes) {
     StoreRevision& seen = m_delivered[change.item.key];
     if (change.item.revision <= seen)
@@ -146,8 +189,7 @@
   std::vector<WatcherEffect> effects;
   // Only a complete read finds missed changes. This also applies to a watch
   // that was cut off, which may have lost changes before that.
-  m_phase = Phase::kReading;
-  m_last_key.clear();
+  RestartRead();
   switch (failure) {
     case WatchFailure::kHistoryGone:
       effects.push_back(MakeCall(now));
--- a/source/core/store/key_watcher.h
+++ b/source/core/store/key_watcher.h
@@ -1,7 +1,7 @@
 // Maintains an up-to-date copy of all keys under a prefix of the platform's
 // key-value store: reads them page by page, then watches for changes, and
-// reads everything again when the change history is lost. A state machine
-// without input or output.
+// reads everything again when the change history is lost or the store has come
+// back from an older copy. A state machine without input or output.
 #pragma once
 
 #include <cstdint>
@@ -15,11 +15,10 @@
 #include "common/enum_table.h"
 #include "common/random.h"
 #include "common/time.h"
+#include "core/store/store_revision.h"
 
 namespace boragepick {
 
-using StoreRevision = std::uint64_t;
-
 struct StoreItem {
   std::string key;
   std::string value;
@@ -141,6 +140,9 @@
   std::vector<WatcherEffect> OnChanges(TimePoint now,
                                        const StoreChanges& changes);
   std::vector<WatcherEffect> OnWatchFailed(TimePoint now, WatchFailure failure);
+  // The answer to another call has shown that the store is in `era`. A pending
+  // call is left to its end.
+  void OnEra(TimePoint now, StoreEra era);
 
   // When Tick() is due; kNever while a call is pending.
   TimePoint NextTick() const { return m_next_tick; }
@@ -153,6 +155,8 @@
   // Returns the shortest delay among the changes.
   Duration BatchDelay(const StoreChanges& changes) const;
   void ScheduleRetry(TimePoint now);
+  // Starts a new read of all keys with the next call.
+  void RestartRead();
   void HandleReachable(TimePoint now, std::vector<WatcherEffect>& effects);
   void HandleCut(TimePoint now, std::vector<WatcherEffect>& effects);
   void HandleFailure(TimePoint now,
@@ -172,6 +176,8 @@
   // which changes were delivered.
   std::optional<StoreRevision> m_read_revision;
   StoreRevision m_revision = 0;
+  // The newest era that an answer has shown.
+  StoreEra m_era = 0;
   // The latest delivered revision of each key, so that a page read late never
   // restores an older value.
   std::map<std::string, StoreRevision> m_delivered;
--- a/source/core/store/leased_record.cc
+++ b/source/core/store/leased_record.cc
@@ -1,5 +1,7 @@
 #include "core/store/leased_record.h"
 
+#include <utility>
+
 namespace boragepick {
 
 std::optional<LeaseEffect> LeasedRecord::Tick(TimePoint now) {
@@ -17,7 +19,25 @@
   return std::nullopt;
 }
 
+void LeasedRecord::OnStoreReverted(TimePoint now) {
+  m_phase = Phase::kNoLease;
+  m_lease = 0;
+  const bool pending = m_next_tick == kNever;
+  m_ignore_reply = m_ignore_reply || pending;
+  if (!pending)
+    m_next_tick = now;
+}
+
+bool LeasedRecord::IsReplyOutdated(TimePoint now) {
+  if (!std::exchange(m_ignore_reply, false))
+    return false;
+  m_next_tick = now;
+  return true;
+}
+
 void LeasedRecord::OnLeaseGranted(TimePoint now, std::optional<LeaseId> lease) {
+  if (IsReplyOutdated(now))
+    return;
   if (!lease) {
     m_next_tick = now + kRetryDelay;
     return;
@@ -28,6 +48,8 @@
 }
 
 void LeasedRecord::OnWritten(TimePoint now, LeaseOutcome outcome) {
+  if (IsReplyOutdated(now))
+    return;
   switch (outcome) {
     case LeaseOutcome::kDone:
       m_phase = Phase::kWritten;
@@ -44,6 +66,8 @@
 }
 
 void LeasedRecord::OnRenewed(TimePoint now, LeaseOutcome outcome) {
+  if (IsReplyOutdated(now))
+    return;
   if (outcome == LeaseOutcome::kLeaseExpired)
     m_phase = Phase::kNoLease;
   m_next_tick = outcome == LeaseOutcome::kDone           ? now + kRenewPeriod
--- a/source/core/store/leased_record.h
+++ b/source/core/store/leased_record.h
@@ -1,7 +1,7 @@
 // Maintains one key in the platform's key-value store for as long as this
 // process runs: the key is attached to a lease that is renewed, and is written
-// again under a new lease when the old one has expired. A state machine without
-// input or output.
+// again under a new lease when the old one has expired or the store has come
+// back from an older copy. A state machine without input or output.
 #pragma once
 
 #include <cstdint>
@@ -49,9 +49,16 @@
   void OnRenewed(TimePoint now, LeaseOutcome outcome);
   void OnWritten(TimePoint now, LeaseOutcome outcome);
 
+  // The store may have given the lease's number to somebody else since, so the
+  // lease is not renewed. The reply to a pending call is ignored.
+  void OnStoreReverted(TimePoint now);
+
   TimePoint NextTick() const { return m_next_tick; }
 
  private:
+  // Returns whether the reply is to a call from before the store came back.
+  bool IsReplyOutdated(TimePoint now);
+
   enum class Phase { kNoLease, kUnwritten, kWritten };
 
   std::string m_key;
@@ -59,6 +66,7 @@
   Phase m_phase = Phase::kNoLease;
   LeaseId m_lease = 0;
   TimePoint m_next_tick = TimePoint{};
+  bool m_ignore_reply = false;
 };
 
 }  // namespace boragepick
--- a/source/frontends/serving/serving_metrics.cc
+++ b/source/frontends/serving/serving_metrics.cc
@@ -73,6 +73,8 @@
   writer.Add("key_proof_age_seconds",
              ToSeconds(ReadBootClock() - state.config_confirmed_at));
   writer.Add("store_calls_total", counters.store_calls);
+  writer.Add("store_era", counters.store_era);
+  writer.Add("store_reverts_total", counters.store_reverts);
   writer.Add("upstream_connections_total", counters.upstream_connections);
   writer.Add("caller_connections", counters.caller_connections);
   writer.Add("request_bytes", counters.request_bytes);
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -136,6 +136,13 @@
     Log(LogEvent::kPlatformRegained,
         {{"prefix", prefix}, {"outage_ms", FormatMilliseconds(event.outage)}});
   }
+  void LogStoreState(const std::string& /*prefix*/,
+                     const StoreReverted& event) {
+    Log(LogEvent::kStoreReverted,
+        {{"old_era", std::to_string(event.old_era)},
+         {"era", std::to_string(event.era)},
+         {"silence_ms", FormatMilliseconds(event.silence)}});
+  }
   void LogStoreState(const std::string& prefix, const StoreWatchCut&) {
     Log(LogEvent::kWatchCut, {{"prefix", prefix}});
   }
@@ -388,6 +395,8 @@
     m_rejected_keys.Remove(removed.key);
     if (removed.key.starts_with(Protocol::kWorkerPrefix))
       m_machine.Post(WorkerUnlisted{.id = WorkerIdFromKey(removed.key)});
+    else if (removed.key == Protocol::kConfigKey)
+      m_config_valid = false;
     else if (removed.key.starts_with(kRouterPrefix))
       m_machine.Post(RouterRecordRemoved{
           .vm = RouterVmFromKey(removed.key),
@@ -395,6 +404,9 @@
   }
   void Handle(const std::string& /*prefix*/, const KeysSynced& synced) {
     m_rejected_keys.Retain(synced.keys);
+    m_config_valid = m_config_valid &&
+                     std::ranges::find(synced.keys, Protocol::kConfigKey) !=
+                         synced.keys.end();
     WorkersSynced workers;
     RouterRecordsSynced routers{.revision =
                                     static_cast<Revision>(synced.revision)};
@@ -423,6 +435,15 @@
     this->LogStoreState(prefix, event);
   }
 
+  void Handle(const std::string& /*prefix*/, const StoreEraObserved& event) {
+    m_machine.Post(event);
+  }
+  void Handle(const std::string& prefix, const StoreReverted& event) {
+    this->LogStoreState(prefix, event);
+    ++m_store_reverts;
+    m_machine.Post(event);
+  }
+
   void QuitOnceResponsesAreSent() {
     const TimePoint now = ReadBootClock();
     if (now >= m_exit_deadline || !m_frontend.HasUnsentBytes())
@@ -453,6 +474,7 @@
   StatusServer m_metrics_server;
   ProcessSignals m_signals;
   RejectedKeys m_rejected_keys;
+  std::uint64_t m_store_reverts = 0;
   bool m_ready = false;
   // Whether the latest configuration could be decoded. It is confirmed as the
   // newest only if so.
@@ -462,6 +484,8 @@
 // Counters of a gateway's tasks.
 struct GatewayCounters {
   std::uint64_t store_calls = 0;
+  StoreEra store_era = 0;
+  std::uint64_t store_reverts = 0;
   std::uint64_t upstream_connections = 0;
   std::size_t caller_connections = 0;
   std::map<ConnectionEnd, std::uint64_t> unanswered_closes;
@@ -483,6 +507,8 @@
 std::string GatewayProcess<Protocol>::FormatMetrics() const {
   return FormatGatewayMetrics(
       m_router, {.store_calls = m_store.calls_sent(),
+                 .store_era = m_store.era(),
+                 .store_reverts = m_store_reverts,
                  .upstream_connections = m_upstreams.connections_opened(),
                  .caller_connections = m_frontend.connection_count(),
                  .unanswered_closes = m_frontend.unanswered_closes(),
@@ -580,7 +606,8 @@
     if (!config)
       return;
     if (auto spec = CommonEngineSpec(*config))
-      m_machine.Post(EngineSpecReceived{.spec = *std::move(spec)});
+      m_machine.Post(EngineSpecReceived{.spec = *std::move(spec),
+                                        .version = config->version});
   }
   void Handle(const std::string& prefix, const StoreUnreachable& event) {
     this->LogStoreState(prefix, event);
@@ -591,6 +618,9 @@
   void Handle(const std::string& prefix, const StoreWatchCut& event) {
     this->LogStoreState(prefix, event);
   }
+  void Handle(const std::string& prefix, const StoreReverted& event) {
+    this->LogStoreState(prefix, event);
+  }
   // A controller ignores all other updates.
   template <typename Update>
   void Handle(const std::string& /*prefix*/, const Update& /*update*/) {}
--- a/source/frontends/serving/store_task.h
+++ b/source/frontends/serving/store_task.h
@@ -1,8 +1,10 @@
 // The client of the platform's key-value service: watches key prefixes, writes
 // single keys and maintains a leased record. `Codec` implements the service's
-// protocol.
+// protocol, in which revisions have no era: this task adds it to those it
+// receives and removes it from those it sends.
 #pragma once
 
+#include <algorithm>
 #include <concepts>
 #include <functional>
 #include <map>
@@ -17,6 +19,7 @@
 #include "core/platform_call.h"
 #include "core/store/key_watcher.h"
 #include "core/store/leased_record.h"
+#include "core/store/store_revision.h"
 #include "core/store/store_write.h"
 #include "frontends/boot_clock.h"
 #include "frontends/http/http_client.h"
@@ -30,7 +33,10 @@
                                  const StoreWrite& write,
                                  const GrantLease& grant,
                                  const RenewLease& renew,
+                                 const HttpHead& head,
                                  std::string_view body) {
+  // Throws if the era is malformed; 0 if the answer has none.
+  { W::DecodeEra(head) } -> std::same_as<StoreEra>;
   { W::EncodeRead(host, read) } -> std::same_as<std::string>;
   { W::EncodeWatch(host, watch) } -> std::same_as<std::string>;
   { W::EncodeWrite(host, write) } -> std::same_as<std::string>;
@@ -53,7 +59,9 @@
                                  KeysVerified,
                                  StoreUnreachable,
                                  StoreReachable,
-                                 StoreWatchCut>;
+                                 StoreWatchCut,
+                                 StoreEraObserved,
+                                 StoreReverted>;
 
 inline constexpr ClientOptions kStoreClientOptions{
     .keepalive = {.user_timeout = std::chrono::milliseconds(1'000),
@@ -91,11 +99,22 @@
     TickWatcher(*m_watchers.back());
   }
 
-  void Write(const StoreWrite& write, WriteCallback callback) {
+  // A conditional write whose expected revision is of an older era is a
+  // conflict and not sent. The outcome of a write is unknown if the store has
+  // come back from a copy since it was sent.
+  void Write(StoreWrite write, WriteCallback callback) {
+    if (write.expected_revision && *write.expected_revision != 0) {
+      if (EraOf(*write.expected_revision) != m_era.era())
+        return callback({.outcome = WriteOutcome::kConflict});
+      write.expected_revision = BareRevisionOf(*write.expected_revision);
+    }
     SendCall(
         {.on_complete =
-             [callback = std::move(callback)](bool complete, const Call& call) {
-               callback(complete ? DecodeWriteReply(call) : StoreWriteReply{});
+             [this, sent_era = m_era.era(), callback = std::move(callback)](
+                 bool complete, const Call& call) {
+               const bool reverted = sent_era && sent_era != m_era.era();
+               callback(complete && !reverted ? DecodeWriteReply(call)
+                                              : StoreWriteReply{});
              }},
         "writes", Codec::EncodeWrite(m_endpoint, write), kStoreCallTimeout);
   }
@@ -107,6 +126,8 @@
   }
 
   std::uint64_t calls_sent() const { return m_last_call_id; }
+  // 0 before the first answer.
+  StoreEra era() const { return m_era.era().value_or(0); }
 
  private:
   static constexpr unsigned kOk = 200;
@@ -117,6 +138,7 @@
     bool is_watch = false;
     std::function<void(bool complete, const Call&)> on_complete;
     unsigned status = 0;
+    StoreEra era = 0;
     std::string body;
   };
 
@@ -194,11 +216,12 @@
   static StoreWriteReply DecodeWriteReply(const Call& call) {
     if (call.status == Codec::kConflictStatus)
       return {.outcome = WriteOutcome::kConflict,
-              .current = TryDecode(&Codec::DecodeConflict, call.body)
+              .current = TryDecodeRevisions(&Codec::DecodeConflict, call)
                              .value_or(std::vector<StoreItem>())};
     const auto revision =
-        call.status == kOk ? TryDecode(&Codec::DecodeWriteRevision, call.body)
-                           : std::nullopt;
+        call.status == kOk
+            ? TryDecodeRevisions(&Codec::DecodeWriteRevision, call)
+            : std::nullopt;
     if (!revision)
       return {};
     return {.outcome = WriteOutcome::kWritten, .revision = *revision};
@@ -215,7 +238,8 @@
     SendCall({.watcher = &watcher}, watcher.prefix(),
              Codec::EncodeRead(m_endpoint, read), kStoreCallTimeout);
   }
-  void Execute(KeyWatcher& watcher, const WatchStore& watch) {
+  void Execute(KeyWatcher& watcher, WatchStore watch) {
+    watch.after = BareRevisionOf(watch.after);
     SendCall({.watcher = &watcher, .is_watch = true}, watcher.prefix(),
              Codec::EncodeWatch(m_endpoint, watch), watch.wait + kWatchMargin);
   }
@@ -226,9 +250,39 @@
 
   void Handle(const CallHeadReceived& event) {
     const auto found = m_calls.find(event.id);
-    if (found != m_calls.end())
+    if (found == m_calls.end())
+      return;
+    try {
+      found->second.era = Codec::DecodeEra(event.head);
       found->second.status = event.head.status;
+    } catch (const Error&) {
+      // The answer has no status that its call could succeed with.
+      return;
+    }
+    ObserveEra(found->second.era);
+  }
+
+  void ObserveEra(StoreEra era) {
+    const TimePoint now = ReadBootClock();
+    switch (m_era.Observe(now, era)) {
+      case StoreEraTracker::Change::kNone:
+        return;
+      case StoreEraTracker::Change::kFirst:
+        return m_update_callback("", StoreEraObserved{.era = era});
+      case StoreEraTracker::Change::kReverted:
+        break;
+    }
+    m_update_callback("", m_era.last_revert());
+    for (const auto& watcher : m_watchers) {
+      watcher->OnEra(now, era);
+      ExecuteAll(*watcher, {});
+    }
+    if (!m_leased_record)
+      return;
+    m_leased_record->OnStoreReverted(now);
+    TickLeasedRecord();
   }
+
   void Handle(const CallBodyReceived& event) {
     const auto found = m_calls.find(event.id);
     if (found != m_calls.end())
@@ -242,24 +296,23 @@
   }
 
   void CompleteCall(CallId id, std::optional<CallFailure> failure) {
-    const bool complete = !failure;
     const auto found = m_calls.find(id);
     if (found == m_calls.end())
       return;
     Call call = std::move(found->second);
     m_calls.erase(found);
     if (call.on_complete)
-      return call.on_complete(complete, call);
-    const bool ok = complete && call.status == kOk;
+      return call.on_complete(!failure && call.era == m_era.era(), call);
+    const bool ok = !failure && call.status == kOk;
     KeyWatcher& watcher = *call.watcher;
     const TimePoint now = ReadBootClock();
     if (!call.is_watch)
       return ExecuteAll(
-          watcher,
-          watcher.OnPageRead(now, ok ? TryDecode(&Codec::DecodePage, call.body)
-                                     : std::nullopt));
+          watcher, watcher.OnPageRead(
+                       now, ok ? TryDecodeRevisions(&Codec::DecodePage, call)
+                               : std::nullopt));
     const auto changes =
-        ok ? TryDecode(&Codec::DecodeChanges, call.body) : std::nullopt;
+        ok ? TryDecodeRevisions(&Codec::DecodeChanges, call) : std::nullopt;
     if (changes)
       return ExecuteAll(watcher, watcher.OnChanges(now, *changes));
     ExecuteAll(watcher,
@@ -287,6 +340,36 @@
     }
   }
 
+  // The same for replies with revisions, to which the era is added. A revision
+  // that is out of range makes the reply unreadable.
+  template <typename Reply>
+  static std::optional<Reply> TryDecodeRevisions(
+      Reply (*decode)(std::string_view),
+      const Call& call) {
+    std::optional<Reply> reply = TryDecode(decode, call.body);
+    if (reply && !AddEra(call.era, *reply))
+      return std::nullopt;
+    return reply;
+  }
+  static bool AddEra(StoreEra era, StoreRevision& revision) {
+    const std::optional<StoreRevision> whole = MakeStoreRevision(era, revision);
+    revision = whole.value_or(revision);
+    return whole.has_value();
+  }
+  static bool AddEra(StoreEra era, std::vector<StoreItem>& items) {
+    return std::ranges::all_of(
+        items, [era](StoreItem& item) { return AddEra(era, item.revision); });
+  }
+  static bool AddEra(StoreEra era, StorePage& page) {
+    return AddEra(era, page.revision) && AddEra(era, page.items);
+  }
+  static bool AddEra(StoreEra era, StoreChanges& changes) {
+    return AddEra(era, changes.revision) &&
+           std::ranges::all_of(changes.changes, [era](StoreChange& change) {
+             return AddEra(era, change.item.revision);
+           });
+  }
+
   EventLoop& m_loop;
   std::string m_endpoint;
   std::size_t m_max_reply_bytes;
@@ -296,6 +379,7 @@
   std::optional<LeasedRecord> m_leased_record;
   std::map<CallId, Call> m_calls;
   CallId m_last_call_id = 0;
+  StoreEraTracker m_era;
 };
 
 }  // namespace boragepick
--- a/source/unit_tests/core/serving/serving_config_change_test.cc
+++ b/source/unit_tests/core/serving/serving_config_change_test.cc
@@ -143,5 +143,29 @@
   EXPECT_EQ(refused[0].status, 502U);
 }
 
+// A store that came back from a copy has an older version for a while. Keys
+// that the newer one withdrew are not confirmed by it.
+TEST_F(ServingConfigChange, AnOlderVersionIsNeitherAppliedNorConfirmed) {
+  Change([](ServingConfig&) {});
+  Change([](ServingConfig&) {});
+  const auto confirmed_at = [this] {
+    return m_fixture.router().state().config_confirmed_at;
+  };
+  const TimePoint before = confirmed_at();
+  const auto receive = [this](std::uint64_t version) {
+    ServingConfig config = SmallConfig();
+    config.version = version;
+    m_fixture.Handle(ConfigReceived{
+        .config = std::make_shared<const ConfigIndex>(std::move(config))});
+    m_fixture.now += milliseconds(10);
+    m_fixture.ConfirmConfig();
+  };
+  receive(m_version - 1);
+  EXPECT_EQ(m_fixture.router().state().config->config().version, m_version);
+  EXPECT_EQ(confirmed_at(), before);
+  receive(m_version);
+  EXPECT_EQ(confirmed_at(), m_fixture.now);
+}
+
 }  // namespace
 }  // namespace boragepick
--- a/source/unit_tests/core/serving/serving_worker_list_test.cc
+++ b/source/unit_tests/core/serving/serving_worker_list_test.cc
@@ -179,5 +179,19 @@
   EXPECT_EQ(fixture.router().state().workers.Find("p1"), nullptr);
 }
 
+// The copy lacks a worker, and has one from before it drained.
+TEST_F(ServingWorkerList, AStoreThatComesBackFromACopyRemovesNoWorkerAtOnce) {
+  WorkerEntry draining = PlainWorker("p1");
+  draining.state = WorkerState::kDraining;
+  fixture.Handle(WorkerListed{.entry = draining});
+  fixture.Handle(StoreReverted{.old_era = 1, .era = 2});
+  fixture.Handle(WorkersSynced{.ids = {"p1"}});
+  fixture.Handle(WorkerListed{.entry = PlainWorker("p1")});
+  EXPECT_TRUE(IsUsed("p2"));
+  EXPECT_FALSE(IsUsed("p1"));
+  fixture.Advance(seconds(3));
+  EXPECT_FALSE(IsUsed("p2"));
+}
+
 }  // namespace
 }  // namespace boragepick
--- a/source/unit_tests/frontends/serving/store_task_test.cc
+++ b/source/unit_tests/frontends/serving/store_task_test.cc
@@ -37,6 +37,10 @@
   static std::string EncodeLeaseRenewal(const std::string&, const RenewLease&) {
     return Encode("/renew");
   }
+  static StoreEra DecodeEra(const HttpHead& head) {
+    const std::string* era = FindField(head.fields, "Era");
+    return era == nullptr ? 0 : std::stoul(*era);
+  }
   static LeaseId DecodeLeaseId(std::string_view) { return 1; }
   static StorePage DecodePage(std::string_view) { return {.revision = 1}; }
   static StoreChanges DecodeChanges(std::string_view) {
@@ -136,5 +140,83 @@
   EXPECT_EQ(CountUpdates<StoreWatchCut>(), 0U);
 }
 
+// The store comes back from a copy while a watch waits and a record is leased.
+class StoreTaskEraTest : public StoreTaskTest {
+ protected:
+  StoreTaskEraTest() {
+    m_server.OnRequest([this](const RawServer::Request& request) {
+      m_calls.push_back(request.head.target);
+      if (request.head.target == m_held)
+        m_held_connection = request.connection;
+      else
+        Respond(request.connection);
+    });
+  }
+  void Respond(std::size_t connection) {
+    m_server.Write(connection,
+                   "HTTP/1.1 200 OK\r\nEra: " + std::to_string(m_era) +
+                       "\r\nContent-Length: 0\r\n\r\n");
+  }
+  void Write(std::optional<StoreRevision> expected) {
+    m_store.Write(
+        {.key = "k", .expected_revision = expected},
+        [this](StoreWriteReply reply) { m_reply = std::move(reply); });
+  }
+
+  StoreEra m_era = 1;
+  // Calls to this path get no reply.
+  std::string m_held = "/watch";
+  std::size_t m_held_connection = 0;
+  std::optional<StoreWriteReply> m_reply;
+};
+
+TEST_F(StoreTaskEraTest, AnyReplyOfANewEraStartsOver) {
+  m_store.Watch({.prefix = "p/", .watch_timeout = seconds(5)});
+  m_store.MaintainRecord("r", "v");
+  RunFor(milliseconds(200));
+  EXPECT_EQ(Count("/read"), 1U);
+  EXPECT_EQ(Count("/grant"), 1U);
+  EXPECT_EQ(CountUpdates<StoreEraObserved>(), 1U);
+  m_era = 2;
+  Write(std::nullopt);
+  RunFor(milliseconds(200));
+  EXPECT_EQ(m_reply->revision, MakeStoreRevision(2, 1));
+  EXPECT_EQ(CountUpdates<StoreReverted>(), 1U);
+  EXPECT_EQ(Count("/grant"), 2U);
+  EXPECT_EQ(Count("/renew"), 0U);
+  // The waiting watch followed a revision of the old era.
+  Respond(m_held_connection);
+  RunFor(milliseconds(200));
+  EXPECT_EQ(Count("/read"), 2U);
+  EXPECT_EQ(CountUpdates<KeysSynced>(), 2U);
+  EXPECT_EQ(CountUpdates<StoreReverted>(), 1U);
+}
+
+TEST_F(StoreTaskEraTest, AWriteIsOfOneEra) {
+  Write(std::nullopt);
+  RunFor(milliseconds(100));
+  const StoreRevision old = m_reply->revision;
+  // The outcome of a write that is on its way is unknown, also if a reply
+  // comes.
+  m_held = "/write";
+  Write(old);
+  RunFor(milliseconds(100));
+  m_era = 2;
+  m_store.Watch({.prefix = "p/"});
+  RunFor(milliseconds(100));
+  Respond(m_held_connection);
+  RunFor(milliseconds(100));
+  EXPECT_EQ(m_reply->outcome, WriteOutcome::kUnknown);
+  // A condition on the old era does not hold in the new one.
+  const std::size_t sent = Count("/write");
+  Write(old);
+  EXPECT_EQ(m_reply->outcome, WriteOutcome::kConflict);
+  m_held = "";
+  Write(MakeStoreRevision(2, 1));
+  RunFor(milliseconds(100));
+  EXPECT_EQ(m_reply->outcome, WriteOutcome::kWritten);
+  EXPECT_EQ(Count("/write"), sent + 1);
+}
+
 }  // namespace
 }  // namespace boragepick
--- a/source/wire/record_codec.cc
+++ b/source/wire/record_codec.cc
@@ -43,6 +43,7 @@
     ToWire(holder.process, *added.mutable_process());
     added.set_units(holder.units);
   }
+  out.set_settled_era(page.settled_era);
 }
 
 SharePage RecordFromWire(const wire::SharePage& in, Revision revision) {
@@ -50,6 +51,7 @@
   for (const wire::ShareHolder& holder : in.holders())
     page.holders.push_back(
         {.process = FromWire(holder.process()), .units = holder.units()});
+  page.settled_era = in.settled_era();
   return page;
 }
 
