Check each step that no unit of quota is used by two routers

The history of share pages passed with the recovery switched off, because lost tokens hid the overlap: the test now checks the sum of shares at each step, with a small burst.

--- a/source/unit_tests/core/share_return_test.cc
+++ b/source/unit_tests/core/share_return_test.cc
@@ -25,8 +25,7 @@
 using std::chrono::seconds;
 
 constexpr const char* kTeam = "casters";
-constexpr TeamSpec kSpec{.rate_tokens_per_second = 1'000,
-                         .burst_tokens = 3'000};
+constexpr TeamSpec kSpec{.rate_tokens_per_second = 1'000, .burst_tokens = 500};
 
 // Share pages that are changed by compare-and-swap, and copies of their earlier
 // states.
@@ -148,6 +147,8 @@
         if (m_now >= holder.next_call && m_now >= holder.cut_until)
           CallStore(holder);
       }
+      // No unit is used by two routers.
+      RC_ASSERT(ShareSum() < 1.001 * kSpec.rate_tokens_per_second);
     }
   }
 
@@ -262,7 +263,6 @@
   fleet.Advance(seconds(40));
   fleet.CheckBound();
   RC_ASSERT(fleet.ShareSum() > 0.95 * kSpec.rate_tokens_per_second);
-  RC_ASSERT(fleet.ShareSum() < 1.001 * kSpec.rate_tokens_per_second);
 }
 
 }  // namespace
--- a/source/unit_tests/frontends/serving/store_task_test.cc
+++ b/source/unit_tests/frontends/serving/store_task_test.cc
@@ -180,7 +180,8 @@
   m_era = 2;
   Write(std::nullopt);
   RunFor(milliseconds(200));
-  EXPECT_EQ(m_reply->revision, MakeStoreRevision(2, 1));
+  // The write was sent under the old era.
+  EXPECT_EQ(m_reply->outcome, WriteOutcome::kUnknown);
   EXPECT_EQ(CountUpdates<StoreReverted>(), 1U);
   EXPECT_EQ(Count("/grant"), 2U);
   EXPECT_EQ(Count("/renew"), 0U);
@@ -215,6 +216,7 @@
   Write(MakeStoreRevision(2, 1));
   RunFor(milliseconds(100));
   EXPECT_EQ(m_reply->outcome, WriteOutcome::kWritten);
+  EXPECT_EQ(m_reply->revision, MakeStoreRevision(2, 1));
   EXPECT_EQ(Count("/write"), sent + 1);
 }
 
