Keep evacuations that a reverted store has lost until its grace ends

An evacuation that is missing from the list that is read after the store came back from an older copy ended at once, although the operator writes it again. It now goes on until the grace period for such entries is over.

EvacuationsTest.AnEvacuationThatTheStoreHasLostGoesOn covers it; it has not run yet at this commit.

--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -142,6 +142,13 @@
     Unlist(now, id);
 }
 
+void ServingRouter::EndMissingEvacuations(TimePoint now) {
+  if (now < m_rewritten_until)
+    return;
+  for (const std::string& name : std::exchange(m_missing_evacuations, {}))
+    On(now, EvacuationEnded{.data_centre = name});
+}
+
 void ServingRouter::Unlist(TimePoint now, const std::string& id) {
   if (m_list_unavailable || now < m_relist_until) {
     const bool is_known = m_state.workers.Find(id) != nullptr;
@@ -168,6 +175,7 @@
 }
 
 void ServingRouter::On(TimePoint now, const EvacuationRequested& event) {
+  m_missing_evacuations.erase(event.data_centre);
   const TimePoint effect = m_state.EvacuationEffect(now);
   if (!m_state.evacuations.Request(now, event.data_centre, event.revision,
                                    effect))
@@ -182,6 +190,11 @@
 }
 
 void ServingRouter::On(TimePoint now, const EvacuationEnded& event) {
+  if (now < m_rewritten_until) {
+    if (m_state.evacuations.IsRequested(event.data_centre))
+      m_missing_evacuations.insert(event.data_centre);
+    return;
+  }
   if (m_state.evacuations.End(event.data_centre))
     OnEvacuationEnded(now, event.data_centre);
 }
@@ -200,7 +213,8 @@
 }
 
 void ServingRouter::On(TimePoint now, const StoreReverted& event) {
-  m_relist_until = std::max(m_relist_until, now + kRelistGrace);
+  m_rewritten_until = now + kRelistGrace;
+  m_relist_until = std::max(m_relist_until, m_rewritten_until);
   // Entries may be back from before their workers drained.
   for (const auto& [id, worker] : m_state.workers.workers()) {
     if (worker.entry.state == WorkerState::kDraining)
@@ -270,6 +284,7 @@
 void ServingRouter::On(TimePoint now, const ServingTicked& /*event*/) {
   m_state.fleet.Tick(now);
   RemoveMissingWorkers(now);
+  EndMissingEvacuations(now);
   SendGrants(m_slots.Tick(now));
   m_requests.Tick(now);
   if (now < m_next_preload || now - m_last_worker_added_at < kListSettleTime)
--- a/source/core/serving/serving_router.h
+++ b/source/core/serving/serving_router.h
@@ -68,6 +68,9 @@
   // Removes workers whose entries expired during an outage of the worker list
   // and that were not listed again within the grace period.
   void RemoveMissingWorkers(TimePoint now);
+  // Ends evacuations that an older copy of the store lacks and that were not
+  // requested again within the grace period.
+  void EndMissingEvacuations(TimePoint now);
   void CheckKeys(TimePoint now);
   void CheckDrain(TimePoint now);
   // Emits the effects of the fleet and applies its changes to the requests.
@@ -99,6 +102,9 @@
   // End of the grace period after an outage of the worker list.
   TimePoint m_relist_until = TimePoint{};
   std::set<std::string> m_missing_workers;
+  // Until then, what a reverted store has lost may be written again.
+  TimePoint m_rewritten_until = TimePoint{};
+  std::set<std::string> m_missing_evacuations;
 };
 
 }  // namespace boragepick
--- a/source/unit_tests/core/serving/evacuations_test.cc
+++ b/source/unit_tests/core/serving/evacuations_test.cc
@@ -156,6 +156,21 @@
   EXPECT_TRUE(IsUsed("p2"));
 }
 
+// The operator writes the request again that the store's copy lacks.
+TEST_F(EvacuationsTest, AnEvacuationThatTheStoreHasLostGoesOn) {
+  CutOff();
+  Evacuate("a");
+  Evacuate("b");
+  fixture.Handle(StoreReverted{.old_era = 1, .era = 2});
+  fixture.Handle(EvacuationEnded{.data_centre = "a"});
+  fixture.Handle(EvacuationsSynced{});
+  EXPECT_FALSE(IsUsed("p1"));
+  Evacuate("a");
+  fixture.Advance(seconds(3));
+  EXPECT_FALSE(IsUsed("p1"));
+  EXPECT_TRUE(IsUsed("p2"));
+}
+
 TEST_F(EvacuationsTest, WithoutAnyDataCentreRequestsAreRefusedAtOnce) {
   CutOff();
   Evacuate("a");
