Capture no structured binding in a lambda

clang-tidy's compiler doesn't accept it (clang-diagnostic-error at request_evacuations.cc). The lambda captures the entry by a name of its own.

--- a/source/core/serving/request_evacuations.cc
+++ b/source/core/serving/request_evacuations.cc
@@ -161,8 +161,8 @@
   std::vector<Displaced> displaced;
   for (auto& [name, model] : found) {
     const bool is_loaded =
-        std::ranges::any_of(remaining, [&name](const Worker* worker) {
-          return worker->contents.Find(name) != nullptr;
+        std::ranges::any_of(remaining, [&model = model](const Worker* worker) {
+          return worker->contents.Find(model.model) != nullptr;
         });
     if (is_loaded)
       continue;
