Let loan requests wait at the holders of a share, in their own order

Under several times a team's rate, holders served their own queue first and answered other routers with 0 tokens; a loan that came after its request had been refused lay idle for up to a second.

A holder now keeps what it can't grant (LoanQueue) and grants as tokens accrue: most urgent first, then who got least for its demand. Its own requests wait among the others'. Idle loans go back at the next poll, numbers of loan requests rise over restarts of a process.

--- a/examples/embed/embed.cc
+++ b/examples/embed/embed.cc
@@ -36,11 +36,14 @@
   holder.HandlePageWritten(start, WriteOutcome::kWritten, page->revision);
   borrower.ApplyPage(start, *page);
 
-  borrower.SetWaiting("team", 300, 300);
-  for (const OutgoingLoanRequest& outgoing : borrower.Poll(start))
-    borrower.HandleLoan(
-        start, outgoing.vm,
-        holder.HandleLoanRequest(start, "b#1", outgoing.request));
+  borrower.SetWaiting("team", {.next_cost = 300, .total_cost = 300});
+  for (const OutgoingQuotaMessage& asked : borrower.Poll(start)) {
+    const auto& request = std::get<QuotaLoanRequest>(asked.message);
+    for (const OutgoingQuotaMessage& granted : holder.HandleLoanRequest(
+             start, {.vm = "b", .incarnation = 1}, request))
+      borrower.HandleLoan(start, asked.vm,
+                          std::get<QuotaLoan>(granted.message));
+  }
   const bool borrowed = borrower.Admit(start + milliseconds(1), "team", 300);
   const bool rest = holder.Admit(start + milliseconds(1), "team", 700);
   const bool too_much = holder.Admit(start + milliseconds(1), "team", 100);
--- a/source/core/quota/quota_messages.h
+++ b/source/core/quota/quota_messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "core/quota/token_reserve.h"
@@ -15,6 +16,15 @@
   std::string team;
   std::uint64_t number = 0;
   Tokens wanted = 0;
+  // The cost of the request that the borrower admits next. The holder keeps the
+  // loan request until it can grant this much or `patience` has passed. 0 if no
+  // request waits: the holder replies at once with what nobody waits for.
+  Tokens needed = 0;
+  // The urgency of what waits at the borrower, 0 being the most urgent.
+  std::uint32_t urgency = 0;
+  // Tokens per second that callers ask for at the borrower.
+  Tokens demand = 0;
+  Duration patience = Duration::zero();
   std::vector<ClosedLoan> closed;
   // Tokens that completed requests were charged by their estimates but didn't
   // use.
@@ -30,4 +40,12 @@
   Tokens tokens = 0;
 };
 
+using QuotaMessage = std::variant<QuotaLoanRequest, QuotaLoan>;
+
+// A message to be sent to the router `vm`.
+struct OutgoingQuotaMessage {
+  std::string vm;
+  QuotaMessage message;
+};
+
 }  // namespace boragepick
--- a/source/core/quota/token_bucket.h
+++ b/source/core/quota/token_bucket.h
@@ -65,6 +65,8 @@
 
   // The tokens available to lend, rounded down.
   Tokens Level(TimePoint now);
+  // The level as of the last call of another function.
+  Tokens KnownLevel() const { return static_cast<Tokens>(m_level); }
   Tokens Outstanding() const { return m_outstanding; }
   // The upper bound of level plus outstanding loans.
   Tokens Capacity() const { return static_cast<Tokens>(CapacityExact()); }
--- a/source/core/quota/token_reserve.cc
+++ b/source/core/quota/token_reserve.cc
@@ -26,16 +26,18 @@
   return true;
 }
 
-LoanRequest TokenReserve::StartLoanRequest(TimePoint now,
-                                           const std::string& lender,
-                                           Tokens wanted) {
-  std::erase_if(m_open_requests, [&](const auto& request) {
-    return now - request.second.requested_at >= kLoanLifetime;
+void TokenReserve::StartLoanRequest(TimePoint now, const LoanRequest& request) {
+  std::erase_if(m_open_requests, [&](const auto& open) {
+    return now - open.second.requested_at >= kLoanLifetime;
   });
-  const std::uint64_t number = ++m_last_number;
-  m_open_requests[number] = {
-      .lender = lender, .wanted = wanted, .requested_at = now};
-  return {.number = number, .lender = lender, .wanted = wanted};
+  for (auto& [number, open] : m_open_requests) {
+    if (open.lender == request.lender)
+      open.is_superseded = true;
+  }
+  m_open_requests[request.number] = {.lender = request.lender,
+                                     .wanted = request.wanted,
+                                     .urgency = request.urgency,
+                                     .requested_at = now};
 }
 
 void TokenReserve::AddLoan(TimePoint now,
@@ -43,32 +45,38 @@
                            std::uint64_t number,
                            Tokens tokens) {
   const auto request = m_open_requests.find(number);
-  if (request == m_open_requests.end() || request->second.lender != lender)
+  if (tokens <= 0 || request == m_open_requests.end() ||
+      request->second.lender != lender)
     return;
-  const TimePoint requested_at = request->second.requested_at;
+  const TimePoint expires_at = request->second.requested_at + kLoanLifetime;
   m_open_requests.erase(request);
-  const TimePoint expires_at = requested_at + kLoanLifetime;
-  if (tokens <= 0 || now >= expires_at)
+  if (now >= expires_at)
     return;
-  m_loans.emplace(expires_at, Loan{.lender = lender,
-                                   .number = number,
-                                   .unspent = tokens,
-                                   .requested_at = requested_at});
+  m_loans.emplace(expires_at,
+                  Loan{.lender = lender, .number = number, .unspent = tokens});
   m_unspent += tokens;
 }
 
+bool TokenReserve::IsOpen(TimePoint now, const OpenRequest& request) {
+  return !request.is_superseded &&
+         now - request.requested_at < kLoanRequestTimeout;
+}
+
 bool TokenReserve::HasOpenRequest(TimePoint now,
-                                  const std::string& lender) const {
-  return std::ranges::any_of(m_open_requests, [&](const auto& request) {
-    return request.second.lender == lender &&
-           now - request.second.requested_at < kLoanRequestTimeout;
+                                  const std::string& lender,
+                                  std::uint32_t urgency) const {
+  return std::ranges::any_of(m_open_requests, [&](const auto& entry) {
+    const OpenRequest& request = entry.second;
+    return request.lender == lender && request.urgency <= urgency &&
+           IsOpen(now, request);
   });
 }
 
-Tokens TokenReserve::RequestedTokens(TimePoint now) const {
+Tokens TokenReserve::RequestedTokens(TimePoint now,
+                                     std::uint32_t urgency) const {
   Tokens requested = 0;
   for (const auto& [number, request] : m_open_requests) {
-    if (now - request.requested_at < kLoanRequestTimeout)
+    if (request.urgency <= urgency && IsOpen(now, request))
       requested += request.wanted;
   }
   return requested;
@@ -76,12 +84,9 @@
 
 void TokenReserve::CloseIdleLoans(TimePoint now, Tokens keep) {
   CloseExpired(now);
-  while (!m_loans.empty()) {
-    const Loan& loan = m_loans.begin()->second;
-    const bool idle = now - loan.requested_at >= kLoanLifetime / 2;
-    if (!idle || m_unspent - loan.unspent < keep)
-      return;
-    m_unspent -= loan.unspent;
+  while (!m_loans.empty() &&
+         m_unspent - m_loans.begin()->second.unspent >= keep) {
+    m_unspent -= m_loans.begin()->second.unspent;
     CloseFirst();
   }
 }
--- a/source/core/quota/token_reserve.h
+++ b/source/core/quota/token_reserve.h
@@ -17,11 +17,17 @@
 // A request for a loan from one holder; the loan that answers it has the same
 // `number`.
 struct LoanRequest {
+  // Increases with each request of the process.
   std::uint64_t number = 0;
   std::string lender;
   Tokens wanted = 0;
+  // 0 is the most urgent.
+  std::uint32_t urgency = 0;
 };
 
+// A loan request is repeated after this time without a loan.
+inline constexpr Duration kLoanRequestTimeout = std::chrono::milliseconds(250);
+
 struct ClosedLoan {
   std::string lender;
   std::uint64_t number = 0;
@@ -37,27 +43,27 @@
   bool Spend(TimePoint now, Tokens tokens);
 
   // Records a loan request that is about to be sent. The loan expires
-  // kLoanLifetime after `now`.
-  LoanRequest StartLoanRequest(TimePoint now,
-                               const std::string& lender,
-                               Tokens wanted);
+  // kLoanLifetime after `now`. An earlier request to the same lender may still
+  // be answered but no longer counts as open.
+  void StartLoanRequest(TimePoint now, const LoanRequest& request);
 
   // Adds the loan that answers a request. A duplicated, expired or unrequested
-  // loan adds nothing.
+  // loan adds nothing. After a loan of 0 tokens, the request stays open.
   void AddLoan(TimePoint now,
                const std::string& lender,
                std::uint64_t number,
                Tokens tokens);
 
-  // Whether a request to `lender` is unanswered and not older than
-  // kLoanRequestTimeout.
-  bool HasOpenRequest(TimePoint now, const std::string& lender) const;
+  // Whether a request to `lender` that is at least as urgent is unanswered and
+  // not older than kLoanRequestTimeout.
+  bool HasOpenRequest(TimePoint now,
+                      const std::string& lender,
+                      std::uint32_t urgency) const;
 
-  // Sum of the tokens of all unanswered requests that have not timed out.
-  Tokens RequestedTokens(TimePoint now) const;
+  // Sum of the tokens of the open requests that are at least as urgent.
+  Tokens RequestedTokens(TimePoint now, std::uint32_t urgency) const;
 
-  // Closes loans older than half their lifetime while at least `keep` tokens
-  // remain.
+  // Closes loans while at least `keep` tokens remain.
   void CloseIdleLoans(TimePoint now, Tokens keep);
 
   // Returns the loans closed since the last call, to be reported to their
@@ -69,14 +75,18 @@
     std::string lender;
     std::uint64_t number = 0;
     Tokens unspent = 0;
-    TimePoint requested_at;
   };
   struct OpenRequest {
     std::string lender;
     Tokens wanted = 0;
+    std::uint32_t urgency = 0;
     TimePoint requested_at;
+    // A later request to the same lender has been sent.
+    bool is_superseded = false;
   };
 
+  static bool IsOpen(TimePoint now, const OpenRequest& request);
+
   void CloseExpired(TimePoint now);
   void CloseFirst();
 
@@ -85,10 +95,7 @@
   std::multimap<TimePoint, Loan> m_loans;
   std::map<std::uint64_t, OpenRequest> m_open_requests;
   std::vector<ClosedLoan> m_closed_loans;
-  std::uint64_t m_last_number = 0;
   Tokens m_unspent = 0;
 };
 
-inline constexpr Duration kLoanRequestTimeout = std::chrono::milliseconds(250);
-
 }  // namespace boragepick
--- a/source/core/router/request_scheduler.cc
+++ b/source/core/router/request_scheduler.cc
@@ -196,7 +196,7 @@
       first = pending->cost;
     all += pending->cost;
   }
-  m_state.quota.SetWaiting(team, first, all);
+  m_state.quota.SetWaiting(team, {.next_cost = first, .total_cost = all});
 }
 
 std::size_t RequestScheduler::WaitingRequests(const std::string& team) const {
--- a/source/core/router/router.cc
+++ b/source/core/router/router.cc
@@ -154,12 +154,7 @@
   } else if constexpr (std::is_same_v<Message, RosterList>) {
     m_state.feed.HandleRosterList(now, message, m_state.roster);
   } else if constexpr (std::is_same_v<Message, QuotaLoanRequest>) {
-    const std::string borrower =
-        from.vm + "#" + std::to_string(from.incarnation);
-    const QuotaLoan loan =
-        m_state.quota.HandleLoanRequest(now, borrower, message);
-    if (message.wanted > 0)
-      m_state.Emit(SendToEndpoint{.endpoint = from.endpoint, .message = loan});
+    SendQuota(m_state.quota.HandleLoanRequest(now, process, message));
   } else if constexpr (std::is_same_v<Message, QuotaLoan>) {
     m_state.quota.HandleLoan(now, from.vm, message);
     m_requests.AdmitAndDispatch(now);
@@ -295,8 +290,17 @@
   if (now < m_next_quota_poll)
     return;
   m_next_quota_poll = now + QuotaManager::kPollInterval;
-  for (OutgoingLoanRequest& outgoing : m_state.quota.Poll(now))
-    m_state.SendToVm(outgoing.vm, std::move(outgoing.request));
+  SendQuota(m_state.quota.Poll(now));
+}
+
+void Router::SendQuota(std::vector<OutgoingQuotaMessage> messages) {
+  for (OutgoingQuotaMessage& outgoing : messages) {
+    std::visit(
+        [&](auto& message) {
+          m_state.SendToVm(outgoing.vm, std::move(message));
+        },
+        outgoing.message);
+  }
 }
 
 void Router::PlanShares(TimePoint now) {
--- a/source/core/router/router.h
+++ b/source/core/router/router.h
@@ -61,6 +61,7 @@
   void ApplyConfig(TimePoint now, const FeedChanged& changed);
   void ApplyRoster(TimePoint now, const RosterList& list);
   void PollQuota(TimePoint now);
+  void SendQuota(std::vector<OutgoingQuotaMessage> messages);
   void PlanShares(TimePoint now);
   void AdoptIdempotencyPages(TimePoint now);
   void SendGrants(const std::vector<SlotSemaphore::Grant>& grants);
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -183,7 +183,7 @@
       first = exchange->cost;
     all += exchange->cost;
   }
-  m_state.fleet.SetWaiting(team, first, all);
+  m_state.fleet.SetWaiting(team, {.next_cost = first, .total_cost = all});
 }
 
 void RequestTable::OnAdmitted(TimePoint now, Exchange& exchange) {
--- a/source/core/serving/serving_fleet.cc
+++ b/source/core/serving/serving_fleet.cc
@@ -34,10 +34,6 @@
               static_cast<double>(team.burst) + slack)};
 }
 
-std::string BorrowerName(const std::string& vm, Incarnation incarnation) {
-  return vm + "#" + std::to_string(incarnation);
-}
-
 }  // namespace
 
 void ServingFleet::Handle(TimePoint now, const IncarnationReceived& event) {
@@ -117,10 +113,9 @@
   const auto record = m_records.find(from);
   if (!m_quota || record == m_records.end())
     return;
-  const QuotaLoan loan = m_quota->HandleLoanRequest(
-      now, BorrowerName(from, record->second.incarnation), request);
-  if (request.wanted > 0)
-    SendToVm(from, loan);
+  const ProcessId borrower{.vm = from,
+                           .incarnation = record->second.incarnation};
+  Send(m_quota->HandleLoanRequest(now, borrower, request));
 }
 
 void ServingFleet::Handle(TimePoint now,
@@ -168,6 +163,15 @@
   return found != m_teams.end() && found->second.spec.rate_per_second > 0;
 }
 
+Tokens ServingFleet::RateOf(const std::string& team) const {
+  const auto found = m_teams.find(team);
+  return found == m_teams.end() ? 0 : found->second.spec.rate_per_second;
+}
+
+Tokens ServingFleet::Available(TimePoint now, const std::string& team) {
+  return m_quota ? m_quota->AvailableOf(now, team) : 0;
+}
+
 bool ServingFleet::Admit(TimePoint now,
                          const std::string& team,
                          std::int64_t cost) {
@@ -188,17 +192,22 @@
 }
 
 void ServingFleet::SetWaiting(const std::string& team,
-                              Tokens first,
-                              Tokens all) {
+                              const WaitingDemand& waiting) {
   if (m_quota)
-    m_quota->SetWaiting(team, first, all);
+    m_quota->SetWaiting(team, waiting);
 }
 
 void ServingFleet::RequestForQueue(TimePoint now, const std::string& team) {
-  if (!m_quota)
-    return;
-  for (OutgoingLoanRequest& outgoing : m_quota->RequestForQueue(now, team))
-    SendToVm(outgoing.vm, std::move(outgoing.request));
+  if (m_quota)
+    Send(m_quota->RequestForQueue(now, team));
+}
+
+void ServingFleet::Send(std::vector<OutgoingQuotaMessage> messages) {
+  for (OutgoingQuotaMessage& outgoing : messages) {
+    std::visit(
+        [&](auto& message) { SendToVm(outgoing.vm, std::move(message)); },
+        outgoing.message);
+  }
 }
 
 void ServingFleet::Tick(TimePoint now) {
@@ -206,8 +215,7 @@
     return;
   if (now >= m_next_poll) {
     m_next_poll = now + kPollInterval;
-    for (OutgoingLoanRequest& outgoing : m_quota->Poll(now))
-      SendToVm(outgoing.vm, std::move(outgoing.request));
+    Send(m_quota->Poll(now));
   }
   // Until all share pages have been read, a stored page that has not been read
   // yet would be taken for a new one.
--- a/source/core/serving/serving_fleet.h
+++ b/source/core/serving/serving_fleet.h
@@ -103,13 +103,16 @@
   bool Admit(TimePoint now, const std::string& team, std::int64_t cost);
   // Returns the cost of a request that did not run.
   void Refund(const std::string& team, std::int64_t cost);
-  // Sets the cost of the first request that waits for tokens, and that of all
-  // waiting requests.
-  void SetWaiting(const std::string& team, Tokens first, Tokens all);
+  void SetWaiting(const std::string& team, const WaitingDemand& waiting);
   // Requests the loans that the team's queue needs, without waiting for the
   // next tick.
   void RequestForQueue(TimePoint now, const std::string& team);
   bool IsLimited(const std::string& team) const;
+  // The team's rate per second over the whole fleet; 0 without limit.
+  Tokens RateOf(const std::string& team) const;
+  // Tokens that this router has borrowed and not spent.
+  Tokens Available(TimePoint now, const std::string& team);
+  const std::optional<QuotaManager>& quota() const { return m_quota; }
 
   // Returns the endpoints of the slot coordinator of the weight store and,
   // after it, of the routers that replace it if it does not respond.
@@ -138,6 +141,7 @@
     std::int64_t initial_tokens = 0;
   };
 
+  void Send(std::vector<OutgoingQuotaMessage> messages);
   void ApplyRoster(TimePoint now, Revision revision);
   void SetTeams(TimePoint now);
   std::int64_t InitialTokens() const;
--- a/source/unit_tests/core/serving/serving_fleet_test.cc
+++ b/source/unit_tests/core/serving/serving_fleet_test.cc
@@ -58,7 +58,7 @@
     while (m_now < until) {
       Pass(milliseconds(50));
       for (auto& [vm, fleet] : m_routers) {
-        fleet.SetWaiting("team", cost, cost);
+        fleet.SetWaiting("team", {.next_cost = cost, .total_cost = cost});
         while (fleet.Admit(m_now, "team", cost))
           admitted += cost;
       }
@@ -72,10 +72,10 @@
     ServingFleet& fleet = m_routers.at(vm);
     if (fleet.Admit(m_now, "team", cost))
       return true;
-    fleet.SetWaiting("team", cost, cost);
+    fleet.SetWaiting("team", {.next_cost = cost, .total_cost = cost});
     fleet.RequestForQueue(m_now, "team");
     Carry(vm, fleet.TakeEffects());
-    fleet.SetWaiting("team", 0, 0);
+    fleet.SetWaiting("team", {});
     return fleet.Admit(m_now, "team", cost);
   }
 
--- a/source/wire/peer_codec.cc
+++ b/source/wire/peer_codec.cc
@@ -251,12 +251,20 @@
   }
   out.set_refund(message.refund);
   out.set_refund_number(message.refund_number);
+  out.set_needed(message.needed);
+  out.set_urgency(message.urgency);
+  out.set_demand(message.demand);
+  out.set_patience_us(message.patience.count());
 }
 
 QuotaLoanRequest DecodeBody(wire::QuotaAsk& in) {
   QuotaLoanRequest request{.team = in.team(),
                            .number = in.number(),
                            .wanted = in.wanted(),
+                           .needed = in.needed(),
+                           .urgency = in.urgency(),
+                           .demand = in.demand(),
+                           .patience = Duration(in.patience_us()),
                            .refund = in.refund(),
                            .refund_number = in.refund_number()};
   for (const wire::ClosedLoan& loan : in.closed())
