Order the requests that wait for quota and refuse what comes too late

A team's requests waited first come, first served, up to 40 at a router, and were refused after 100 to 1,500 ms with one Retry-After for all, so that urgent work waited behind other work and callers came back in step.

QuotaQueue orders them by urgency, with a step for each 300 ms of waiting, then by the time left. It refuses at once what can't be admitted in half of its objective at the rate that this router gets, and spreads the returns over the time at which tokens accrue, urgent work first. Refusals log backlog, rate and expected wait; metrics by team show who waits, what was admitted and the holder's level. The gateway asks for the next loans as soon as one was used, in the same turn.

--- a/source/core/serving/exchange.h
+++ b/source/core/serving/exchange.h
@@ -10,6 +10,7 @@
 #include "common/enum_table.h"
 #include "common/time.h"
 #include "core/serving/event_splitter.h"
+#include "core/serving/quota_queue.h"
 #include "core/serving/serving_config.h"
 #include "core/serving/serving_messages.h"
 #include "core/serving/serving_request.h"
@@ -102,6 +103,8 @@
   // Tokens or requests charged to the team's quota.
   std::int64_t cost = 0;
   bool quota_charged = false;
+  // Set when the request is refused for lack of tokens.
+  std::optional<QuotaRefusal> quota_refusal;
 
   ExchangeStage stage = ExchangeStage::kWaitingTokens;
   TimePoint arrived;
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -23,15 +23,6 @@
 // periods in which the number of routers changes.
 constexpr double kRetryShareFraction = 0.6;
 constexpr double kRetryReserveFraction = 0.7;
-// A request is queued for its team's quota for half of its latency objective
-// within these bounds.
-constexpr Duration kMaxQuotaWait = std::chrono::milliseconds(1'500);
-constexpr Duration kMinQuotaWait = std::chrono::milliseconds(100);
-// Later requests with a smaller cost may be admitted first until a request has
-// waited this long.
-constexpr Duration kMaxOvertakenTime = std::chrono::milliseconds(300);
-// Longer queues would be admitted too late for the latency objectives.
-constexpr std::size_t kMaxQueuedPerTeam = 40;
 // Values of the Retry-After header of refusals.
 constexpr Duration kRetryAfterQuota = std::chrono::milliseconds(800);
 constexpr Duration kRetryAfterUnavailable = std::chrono::milliseconds(500);
@@ -122,76 +113,6 @@
   AdmitOrQueue(now, exchange);
 }
 
-void RequestTable::AdmitOrQueue(TimePoint now, Exchange& exchange) {
-  const std::string team = exchange.team;
-  std::deque<RequestId>& queue = m_quota_queues[team];
-  // A new request doesn't overtake queued ones.
-  const bool is_queue_empty = queue.empty();
-  if (is_queue_empty && m_state.fleet.Admit(now, team, exchange.cost)) {
-    exchange.quota_charged = true;
-    return OnAdmitted(now, exchange);
-  }
-  if (queue.size() >= kMaxQueuedPerTeam)
-    return Refuse(now, exchange, ServingRefusal::kOverQuota);
-  queue.push_back(exchange.request->id);
-  ScheduleCheck(exchange, now + std::clamp(exchange.route->target_latency / 2,
-                                           kMinQuotaWait, kMaxQuotaWait));
-  ReportQueuedCost(team);
-  m_state.fleet.RequestForQueue(now, team);
-}
-
-void RequestTable::AdmitQueued(TimePoint now) {
-  for (auto& [team, queue] : m_quota_queues) {
-    if (!queue.empty())
-      AdmitQueuedOfTeam(now, team);
-  }
-}
-
-void RequestTable::AdmitQueuedOfTeam(TimePoint now, const std::string& team) {
-  std::deque<RequestId>& queue = m_quota_queues[team];
-  std::deque<RequestId> waiting;
-  bool blocked = false;
-  for (const RequestId id : std::exchange(queue, {})) {
-    Exchange* exchange = Find(id);
-    const bool is_queued =
-        exchange != nullptr && exchange->stage == ExchangeStage::kWaitingTokens;
-    if (!is_queued)
-      continue;
-    if (blocked || !m_state.fleet.Admit(now, team, exchange->cost)) {
-      waiting.push_back(id);
-      // Smaller requests may overtake a large one, but only for a limited time.
-      blocked = blocked || now - exchange->arrived > kMaxOvertakenTime;
-      continue;
-    }
-    exchange->quota_charged = true;
-    OnAdmitted(now, *exchange);
-  }
-  // Requests that were queued during this loop follow the earlier ones.
-  waiting.insert(waiting.end(), queue.begin(), queue.end());
-  queue = std::move(waiting);
-  ReportQueuedCost(team);
-}
-
-void RequestTable::ReportQueuedCost(const std::string& team) {
-  Tokens first = 0;
-  Tokens all = 0;
-  for (const RequestId id : m_quota_queues[team]) {
-    const Exchange* exchange = Find(id);
-    if (exchange == nullptr || exchange->stage != ExchangeStage::kWaitingTokens)
-      continue;
-    if (first == 0)
-      first = exchange->cost;
-    all += exchange->cost;
-  }
-  m_state.fleet.SetWaiting(team, {.next_cost = first, .total_cost = all});
-}
-
-void RequestTable::OnAdmitted(TimePoint now, Exchange& exchange) {
-  m_metrics.quota_wait.Add(now - exchange.arrived);
-  exchange.stage = ExchangeStage::kHeld;
-  Dispatch(now, exchange);
-}
-
 std::optional<ServingRefusal> RequestTable::ResolveRoute(TimePoint now,
                                                          Exchange& exchange) {
   if (!m_state.config)
@@ -292,7 +213,7 @@
       continue;
     exchange->next_check = kNever;
     if (exchange->stage == ExchangeStage::kWaitingTokens)
-      Refuse(now, *exchange, ServingRefusal::kOverQuota);
+      CheckQueued(now, *exchange);
     else if (now >= exchange->deadline)
       TimeOut(now, *exchange);
     else if (exchange->stage == ExchangeStage::kHeld)
@@ -375,21 +296,26 @@
   // Only requests that may have run count against the quota.
   if (exchange.possible_runs == 0 && exchange.quota_charged)
     m_state.fleet.Refund(exchange.team, exchange.cost);
-  m_state.Log(
-      LogEvent::kRequestRefused,
-      {{"request", exchange.request->trace_id},
-       {"code", std::string(row.name)},
-       {"status", std::to_string(row.status)},
-       {"team", exchange.team},
-       {"weights", exchange.weights},
-       {"tokens", std::to_string(exchange.cost)},
-       {"runs", std::to_string(exchange.possible_runs)},
-       {"config", std::to_string(
-                      exchange.config ? exchange.config->config().version : 0)},
-       {"part", exchange.convicted_part
-                    ? PromptPartName(*exchange.convicted_part)
-                    : ""},
-       {"after_ms", FormatMilliseconds(now - exchange.arrived)}});
+  std::vector<LogField> fields = {
+      {"request", exchange.request->trace_id},
+      {"code", std::string(row.name)},
+      {"status", std::to_string(row.status)},
+      {"team", exchange.team},
+      {"weights", exchange.weights},
+      {"tokens", std::to_string(exchange.cost)},
+      {"runs", std::to_string(exchange.possible_runs)},
+      {"config",
+       std::to_string(exchange.config ? exchange.config->config().version : 0)},
+      {"part",
+       exchange.convicted_part ? PromptPartName(*exchange.convicted_part) : ""},
+      {"after_ms", FormatMilliseconds(now - exchange.arrived)}};
+  if (const auto& quota = exchange.quota_refusal) {
+    fields.push_back({"backlog_tokens", std::to_string(quota->backlog)});
+    fields.push_back({"tokens_per_second", std::to_string(quota->rate)});
+    fields.push_back({"wait_ms", FormatMilliseconds(quota->expected_wait)});
+    fields.push_back({"retry_ms", FormatMilliseconds(quota->retry_after)});
+  }
+  m_state.Log(LogEvent::kRequestRefused, std::move(fields));
   m_state.Emit(
       RefuseRequest{.id = exchange.request->id,
                     .status = row.status,
@@ -416,6 +342,7 @@
 
 void RequestTable::Remove(Exchange& exchange) {
   const RequestId id = exchange.request->id;
+  LeaveQuotaQueue(exchange);
   CancelSilentAttempt(exchange);
   CloseAttempt(exchange);
   ReleaseTrial(exchange);
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -18,12 +17,20 @@
 #include "core/serving/crash_suspects.h"
 #include "core/serving/exchange.h"
 #include "core/serving/load_planner.h"
+#include "core/serving/quota_queue.h"
 #include "core/serving/serving_state.h"
 #include "core/serving/trial_slots.h"
 #include "core/serving/worker_choice.h"
 
 namespace boragepick {
 
+struct TeamQuotaMetrics {
+  std::uint64_t admitted_tokens = 0;
+  // Requests that had to wait for tokens, and those refused for lack of them.
+  std::uint64_t queued = 0;
+  std::uint64_t refused = 0;
+};
+
 struct ServingMetrics {
   std::uint64_t requests = 0;
   std::uint64_t answered = 0;
@@ -49,6 +56,7 @@
   LatencyHistogram whole_answer;
   // From arrival until admission by the team's quota.
   LatencyHistogram quota_wait;
+  std::map<std::string, TeamQuotaMetrics> quota_by_team;
   // How long held requests waited for a usable worker with their model.
   LatencyHistogram hold;
 };
@@ -115,6 +123,8 @@
   TimePoint NextCheck() const;
   std::size_t open() const { return m_exchanges.size(); }
   std::size_t held() const { return m_held.size(); }
+  // Number of the team's requests that wait for tokens.
+  std::size_t WaitingForQuota(const std::string& team) const;
   const ServingMetrics& metrics() const { return m_metrics; }
   const ResponseFlow& response_flow() const { return m_flow; }
 
@@ -131,7 +141,10 @@
   void SelectService(Exchange& exchange);
   void AdmitOrQueue(TimePoint now, Exchange& exchange);
   void AdmitQueuedOfTeam(TimePoint now, const std::string& team);
-  void ReportQueuedCost(const std::string& team);
+  // Refuses the team's requests that won't get tokens in time.
+  void RefuseLate(TimePoint now, const std::string& team);
+  void CheckQueued(TimePoint now, const Exchange& exchange);
+  void LeaveQuotaQueue(const Exchange& exchange);
   void OnAdmitted(TimePoint now, Exchange& exchange);
 
   // Attempts.
@@ -301,8 +314,8 @@
   std::set<RequestId> m_paused;
   std::unordered_map<RequestId, Exchange> m_exchanges;
   std::unordered_map<AttemptNumber, RequestId> m_attempts;
-  // Requests queued for their team's quota, by team and in order of arrival.
-  std::map<std::string, std::deque<RequestId>> m_quota_queues;
+  // Requests that wait for their team's quota, by team.
+  std::map<std::string, QuotaQueue> m_quota_queues;
   // Held requests in order of arrival.
   std::set<RequestId> m_held;
   // Number of held requests by weights.
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -171,13 +171,13 @@
 }
 
 void ServingRouter::ForwardFleetEffects(TimePoint now) {
+  m_requests.AdmitQueued(now);
   for (FleetEffect& effect : m_state.fleet.TakeEffects()) {
     std::visit([this](auto& value) { m_state.Emit(std::move(value)); }, effect);
   }
   const std::size_t routers = m_state.fleet.RouterCount();
   if (std::exchange(m_router_count, routers) != routers)
     m_requests.OnRouterCountChanged();
-  m_requests.AdmitQueued(now);
 }
 
 void ServingRouter::On(TimePoint now, const PeerMessageReceived& event) {
--- a/source/frontends/serving/serving_metrics.cc
+++ b/source/frontends/serving/serving_metrics.cc
@@ -36,6 +36,25 @@
   std::string m_text;
 };
 
+void AddQuotaMetrics(const ServingRouter& router, MetricsWriter& writer) {
+  const auto& quota = router.state().fleet.quota();
+  for (const auto& [team, counts] : router.requests().metrics().quota_by_team) {
+    if (!router.state().fleet.IsLimited(team))
+      continue;
+    const std::string label = "{team=\"" + team + "\"}";
+    writer.Add("quota_admitted_tokens_total", counts.admitted_tokens, label);
+    writer.Add("quota_queued_total", counts.queued, label);
+    writer.Add("quota_refused_total", counts.refused, label);
+    writer.Add("quota_waiting_requests",
+               router.requests().WaitingForQuota(team), label);
+    if (!quota)
+      continue;
+    writer.Add("quota_level_tokens", quota->KnownLevelOf(team), label);
+    writer.Add("quota_lent_tokens", quota->OutstandingOf(team), label);
+    writer.Add("quota_waiting_routers", quota->WaitingLoansOf(team), label);
+  }
+}
+
 }  // namespace
 
 std::string FormatGatewayMetrics(const ServingRouter& router,
@@ -65,6 +84,7 @@
   writer.Add("whole_answer_seconds", metrics.whole_answer);
   writer.Add("quota_wait_seconds", metrics.quota_wait);
   writer.Add("hold_seconds", metrics.hold);
+  AddQuotaMetrics(router, writer);
   writer.Add("open_requests", router.requests().open());
   writer.Add("held_requests", router.requests().held());
   writer.Add("workers", state.workers.size());
