Ask for queued requests in the random histories of quota too

The property test only polled, so that loan requests for a queue, with an urgency, were not among its histories.

--- a/source/unit_tests/core/quota_history_test.cc
+++ b/source/unit_tests/core/quota_history_test.cc
@@ -116,7 +116,12 @@
       }
       default: {
         const auto cost = static_cast<Tokens>(1 + random.Below(400));
-        fleet.SetWaiting(vm, cost, 4 * cost);
+        fleet.SetWaiting(
+            vm, {.next_cost = cost,
+                 .total_cost = 4 * cost,
+                 .urgency = static_cast<std::uint32_t>(random.Below(4)),
+                 .demand = static_cast<Tokens>(random.Below(5000))});
+        fleet.RequestForQueue(vm);
         for (int i = 0; i < 40; ++i)
           fleet.Admit(vm, cost);
         fleet.Advance(milliseconds(random.Below(600)));
