--- a/source/common/log_event.cc
+++ b/source/common/log_event.cc
@@ -101,6 +101,15 @@
       {LogEvent::kPartProbed, kInfo, kRouting, "part_probed",
        "One request with a convicted part of a prompt is let through, to "
        "find out whether the part still crashes workers."},
+      {LogEvent::kWorkerCold, kInfo, kRouting, "worker_cold",
+       "A worker is cold or is taken for cold and gets requests only within "
+       "its limit; fields give the reason and the time left."},
+      {LogEvent::kWorkerWarm, kInfo, kRouting, "worker_warm",
+       "The entry of a worker that was cold shows that it no longer is."},
+      {LogEvent::kColdPlacesShort, kWarning, kRouting, "cold_places_short",
+       "Requests waited for places at cold workers; fields count the workers, "
+       "the requests, and the places asked for and received since the last "
+       "line, which is repeated at most every second."},
       {LogEvent::kLoadStarted, kInfo, kPlacement, "load_started",
        "The agent ordered the engine to load a model."},
       {LogEvent::kLoadFinished, kInfo, kPlacement, "load_finished",
--- a/source/core/peer_messages.h
+++ b/source/core/peer_messages.h
@@ -188,6 +188,26 @@
   bool granted = true;
 };
 
+// Router to the router that owns a cold worker's places: asks for places, each
+// of which permits one request to the worker.
+struct ColdPlaceRequest {
+  std::string worker;
+  // Increases with each request of a process.
+  std::uint64_t number = 0;
+  std::uint32_t wanted = 0;
+  // Of the request that is to be sent first; 0 is the most urgent.
+  std::uint32_t urgency = 0;
+  std::uint32_t prompt_tokens = 0;
+};
+
+// The reply, sent once places are free. They end kPlaceLifetime after the
+// request was sent.
+struct ColdPlaceGrant {
+  std::string worker;
+  std::uint64_t number = 0;
+  std::uint32_t places = 0;
+};
+
 using PeerMessage = std::variant<RunRequest,
                                  CancelRun,
                                  RunProgress,
@@ -210,7 +230,9 @@
                                  SlotGrant,
                                  LoadRequest,
                                  EngineUpdate,
-                                 RunCredit>;
+                                 RunCredit,
+                                 ColdPlaceRequest,
+                                 ColdPlaceGrant>;
 
 // Event of the state machines: a message from a peer was received.
 struct PeerMessageReceived {
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -60,6 +60,8 @@
   const ServingService* service =
       exchange.config->FindService(exchange.service);
   std::vector<Worker*> workers = UsableWorkers(now, exchange);
+  if (workers.empty() && AwaitColdPlace(now, exchange))
+    return;
   if (service == nullptr || workers.empty())
     return HoldOrReject(now, exchange);
   if (service->engine && !exchange.weights.empty())
@@ -80,8 +82,9 @@
   std::vector<Worker*> workers =
       m_state.workers.FindByService(exchange.service);
   const std::uint32_t limit = ConnectionLimit(exchange);
-  std::erase_if(workers, [now, limit](const Worker* worker) {
-    return !worker->IsUsable(now) || worker->running >= limit;
+  std::erase_if(workers, [this, now, limit](const Worker* worker) {
+    return !worker->IsUsable(now) || worker->running >= limit ||
+           !m_state.cold_workers.MaySend(now, worker->entry.id);
   });
   return workers;
 }
@@ -176,7 +179,7 @@
       refusal = ServingRefusal::kWorkerFailed;
     else if (reason == "no_worker")
       refusal = ServingRefusal::kNoWorker;
-    else if (reason == kAwaitsTrial)
+    else if (reason == kAwaitsTrial || reason == kAwaitsColdPlace)
       refusal = ServingRefusal::kWorkersFull;
     return Refuse(now, exchange, refusal);
   }
@@ -192,6 +195,8 @@
     return TimeOut(now, exchange);
   if (!HasTurn(now, exchange))
     return Hold(now, exchange, kAwaitsTrial);
+  if (!m_state.cold_workers.TakePlace(now, choice.worker->entry.id))
+    return Hold(now, exchange, kAwaitsColdPlace);
   const ServingRequest& request = *exchange.request;
   Worker& worker = *choice.worker;
   Attempt& attempt = exchange.attempt.emplace();
--- a/source/core/serving/request_loads.cc
+++ b/source/core/serving/request_loads.cc
@@ -42,6 +42,8 @@
       ChooseWorker(m_policy, MakeChoiceInput(exchange),
                    std::span<Worker* const>(loaded_workers));
   if (choice.worker == nullptr) {
+    if (AwaitColdPlace(now, exchange))
+      return;
     // Requested in any case, since the answer shows that controllers are back.
     RequestWeights(now, exchange, engine);
     if (CanNeverLoad(now, exchange))
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -273,6 +273,7 @@
 
 void RequestTable::OnConfigChanged(TimePoint now) {
   m_state.fleet.Configure(now, m_state.config->config().teams);
+  m_state.cold_workers.Configure(m_state.config->config().services);
   DispatchHeld(now);
 }
 
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -84,6 +84,9 @@
   // Dispatches the held requests again after a change of the configuration or
   // of the workers.
   void DispatchHeld(TimePoint now);
+  // Dispatches the held requests, the most urgent and then the smallest first,
+  // after places at cold workers have arrived.
+  void DispatchToColdPlaces(TimePoint now);
   // A new configuration was applied.
   void OnConfigChanged(TimePoint now);
   // Performs the checks of requests that are due.
@@ -123,6 +126,8 @@
   // workers must not run one stream for longer than 400 ms, of which a part
   // passes until the cancelled worker notices.
   static constexpr Duration kAcceptanceTime = std::chrono::milliseconds(200);
+  // Why a request is held until it may be sent to a cold worker.
+  static constexpr const char* kAwaitsColdPlace = "cold_worker";
 
   RetryBudget& RetryBudgetFor(const std::string& service);
 
@@ -161,6 +166,10 @@
   // again, if all of them have asked for a pause.
   std::optional<Duration> CommonPause(TimePoint now,
                                       const std::string& service);
+  // Holds the request until it gets a place at a cold worker that could run it,
+  // or refuses it if that would take too long. Returns false if there is no
+  // such worker.
+  bool AwaitColdPlace(TimePoint now, Exchange& exchange);
   // Holds the request until a worker is usable, or rejects it if it is known
   // that none will be in time.
   void HoldOrReject(TimePoint now, Exchange& exchange);
--- a/source/core/serving/serving_config.h
+++ b/source/core/serving/serving_config.h
@@ -83,6 +83,10 @@
   // Connections that one worker accepts from all routers together.
   std::uint32_t max_connections = 100;
   std::optional<EngineSpec> engine;
+  // How long a worker is cold after a start, and the requests per second from
+  // all routers that it bears meanwhile; 0: no such limit.
+  Duration cold_start = Duration::zero();
+  double cold_requests_per_second = 0;
 };
 
 enum class QuotaUnit { kRequests, kTokens };
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -32,6 +32,7 @@
                                                  ServingEvent event) {
   std::visit([this, now](auto& value) { On(now, value); }, event);
   ForwardFleetEffects(now);
+  ForwardColdPlaces(now);
   CheckKeys(now);
   if (m_draining)
     CheckDrain(now);
@@ -41,7 +42,8 @@
 }
 
 TimePoint ServingRouter::NextTick(TimePoint now) const {
-  return std::min(m_requests.NextCheck(), now + ServingFleet::kPollInterval);
+  return std::min({m_requests.NextCheck(), m_state.cold_workers.NextTick(now),
+                   now + ServingFleet::kPollInterval});
 }
 
 void ServingRouter::On(TimePoint now, RequestArrived& event) {
@@ -90,6 +92,7 @@
                                                  event.entry.contents.born;
   const bool was_ready =
       previous != nullptr && previous->entry.state == WorkerState::kReady;
+  m_state.cold_workers.OnWorkerListed(now, event.entry);
   if (!m_state.workers.AddOrUpdate(now, event.entry))
     return;
   if (is_new) {
@@ -149,6 +152,7 @@
   }
   if (!m_state.workers.Remove(id))
     return;
+  m_state.cold_workers.OnWorkerRemoved(id);
   m_state.Log(LogEvent::kWorkerGone, {{"worker", id}});
   m_state.Emit(CloseWorkerConnections{.worker = id});
 }
@@ -158,18 +162,38 @@
     return;
   m_state.config_confirmed = true;
   m_state.config_confirmed_at = event.at;
+  m_state.cold_workers.owners().Confirm(event.at);
 }
 
 void ServingRouter::On(TimePoint now, const RouterRecordReceived& event) {
+  m_state.cold_workers.owners().AddRouter(now, event.record.vm);
   if (m_state.fleet.Handle(now, event))
     m_requests.SendConvictions(now, event.record);
 }
 
 template <typename FleetEvent>
 void ServingRouter::On(TimePoint now, const FleetEvent& event) {
+  if constexpr (std::is_same_v<FleetEvent, RouterRecordRemoved>)
+    m_state.cold_workers.owners().RemoveRouter(now, event.vm);
+  if constexpr (std::is_same_v<FleetEvent, RouterRecordsSynced>)
+    m_state.cold_workers.owners().Retain(now, event.vms);
   m_state.fleet.Handle(now, event);
 }
 
+void ServingRouter::ForwardColdPlaces(TimePoint now) {
+  ColdWorkers& cold = m_state.cold_workers;
+  if (!cold.IsActive())
+    return;
+  if (cold.TakeArrived())
+    m_requests.DispatchToColdPlaces(now);
+  for (ColdWorkers::Outgoing& outgoing : cold.TakeOutgoing())
+    m_state.fleet.SendToVm(outgoing.vm, std::move(outgoing.message));
+  for (LogRecord& record : cold.TakeLog())
+    m_state.Emit(LogEffect{std::move(record)});
+  for (FleetEffect& effect : m_state.fleet.TakeEffects())
+    std::visit([this](auto& value) { m_state.Emit(std::move(value)); }, effect);
+}
+
 void ServingRouter::ForwardFleetEffects(TimePoint now) {
   for (FleetEffect& effect : m_state.fleet.TakeEffects()) {
     std::visit([this](auto& value) { m_state.Emit(std::move(value)); }, effect);
@@ -191,6 +215,10 @@
     return SendGrants(m_slots.HandleRequest(now, event.from, *request));
   if (const auto* grant = std::get_if<SlotGrant>(&event.message))
     return m_requests.OnTrialGrant(now, *grant);
+  if (const auto* request = std::get_if<ColdPlaceRequest>(&event.message))
+    return m_state.cold_workers.Handle(now, event.from, *request);
+  if (const auto* grant = std::get_if<ColdPlaceGrant>(&event.message))
+    return m_state.cold_workers.Handle(now, *grant);
   const auto* update = std::get_if<EngineUpdate>(&event.message);
   if (update == nullptr)
     return;
@@ -222,6 +250,7 @@
   m_state.fleet.Tick(now);
   RemoveMissingWorkers(now);
   SendGrants(m_slots.Tick(now));
+  m_state.cold_workers.Tick(now);
   m_requests.Tick(now);
   if (now < m_next_preload || now - m_last_worker_added_at < kListSettleTime)
     return;
--- a/source/core/serving/serving_router.h
+++ b/source/core/serving/serving_router.h
@@ -66,6 +66,9 @@
   // Emits the effects of the fleet and applies its changes to the requests.
   void ForwardFleetEffects(TimePoint now);
   void SendGrants(const std::vector<SlotSemaphore::Grant>& grants);
+  // Uses the places at cold workers that have arrived, and emits the messages
+  // about further ones.
+  void ForwardColdPlaces(TimePoint now);
 
   ServingState m_state;
   RequestTable m_requests;
--- a/source/core/serving/serving_state.h
+++ b/source/core/serving/serving_state.h
@@ -11,6 +11,7 @@
 #include "common/random.h"
 #include "common/time.h"
 #include "core/scheduling/response_flow.h"
+#include "core/serving/cold_workers.h"
 #include "core/serving/serving_config.h"
 #include "core/serving/serving_fleet.h"
 #include "core/serving/serving_messages.h"
@@ -38,6 +39,10 @@
   double retry_reserve = 50;
   // Tokens of a team that the fleet may admit beyond its quota.
   std::int64_t quota_slack = 0;
+  // A cold worker may get its rate times `cold_overage` plus `cold_slack`
+  // requests in a second from all routers; 0: cold workers are not limited.
+  double cold_overage = 0;
+  double cold_slack = 0;
   // A worker renews its entry in the list once in this time. The entry expires
   // after three times without a renewal.
   Duration worker_heartbeat = std::chrono::milliseconds(1'200);
@@ -57,7 +62,13 @@
         fleet({.vm = options.vm,
                .data_centre = options.data_centre,
                .endpoint = options.endpoint,
-               .quota_slack = options.quota_slack}) {}
+               .quota_slack = options.quota_slack}),
+        cold_workers({.vm = options.vm,
+                      .random_seed = options.random_seed,
+                      .overage = options.cold_overage,
+                      .slack = options.cold_slack,
+                      .heartbeat = options.worker_heartbeat,
+                      .knowledge_lifetime = KeyConfirmationLifetime()}) {}
 
   ServingOptions options;
   Random random;
@@ -68,6 +79,7 @@
   TimePoint config_confirmed_at = TimePoint{};
   bool config_confirmed = false;
   WorkerTable workers;
+  ColdWorkers cold_workers;
   std::vector<ServingEffect> effects;
 
   void Emit(ServingEffect effect) { effects.push_back(std::move(effect)); }
--- a/source/core/serving/worker_entry.h
+++ b/source/core/serving/worker_entry.h
@@ -63,6 +63,8 @@
   std::string data_centre;
   WorkerState state = WorkerState::kReady;
   std::uint32_t slots = 1;
+  // How much longer the worker is cold, when it wrote the entry.
+  Duration cold_remaining = Duration::zero();
   EngineContents contents;
 };
 
--- a/source/frontends/serving/serving_metrics.cc
+++ b/source/frontends/serving/serving_metrics.cc
@@ -56,6 +56,13 @@
   writer.Add("prompt_parts_convicted_total", metrics.parts_convicted);
   writer.Add("prompt_part_probes_total", metrics.part_probes);
   writer.Add("prompt_parts_cleared_total", metrics.parts_cleared);
+  const ColdMetrics& cold = state.cold_workers.metrics();
+  writer.Add("cold_workers", state.cold_workers.CountCold(ReadBootClock()));
+  writer.Add("workers_turned_cold_total", cold.turned_cold);
+  writer.Add("cold_places_asked_total", cold.places_asked);
+  writer.Add("cold_places_received_total", cold.places_received);
+  writer.Add("cold_places_used_total", cold.places_used);
+  writer.Add("cold_places_granted_total", cold.places_granted);
   for (const auto& [refusal, count] : metrics.refused) {
     writer.Add(
         "refused_total", count,
--- a/source/frontends/serving/serving_process.h
+++ b/source/frontends/serving/serving_process.h
@@ -62,6 +62,14 @@
                        settings.key_revocation_ms})) /
          2;
 }
+// Routers send to a worker that turned cold as to a warm one until they learn
+// of it.
+inline Duration WorkerEntryDelay(const ServingSettings& settings) {
+  constexpr Duration kMaxDelayOfColdWorkers = std::chrono::milliseconds(500);
+  return settings.cold_overage > 0
+             ? std::min(kMaxDelayOfColdWorkers, WorkerBatchDelay(settings))
+             : WorkerBatchDelay(settings);
+}
 // When many routers start, each one's watch would return for each record of the
 // others. A writer learns of a conflict from the reply to its write.
 inline constexpr Duration kRecordBatchDelay = std::chrono::milliseconds(500);
@@ -245,7 +253,7 @@
         this->MakeWatcherOptions("", kGatewayWatchTimeout);
     all_keys.batched = {
         {.prefix = std::string(Protocol::kWorkerPrefix),
-         .delay = WorkerBatchDelay(m_settings)},
+         .delay = WorkerEntryDelay(m_settings)},
         {.prefix = kRecordPrefix, .delay = kRecordBatchDelay},
         {.prefix = kIncarnationPrefix, .delay = WorkerBatchDelay(m_settings)}};
     m_store.Watch(std::move(all_keys));
@@ -286,6 +294,8 @@
         .retry_share = static_cast<double>(m_settings.retry_percent) / kPercent,
         .retry_reserve = static_cast<double>(m_settings.retry_reserve),
         .quota_slack = m_settings.quota_slack,
+        .cold_overage = m_settings.cold_overage,
+        .cold_slack = m_settings.cold_slack,
         .worker_heartbeat = milliseconds(m_settings.worker_heartbeat_ms),
         .response_flow = {.pool_bytes = this->Memory().response_pool_bytes},
         .drain_limit = DrainLimit()};
--- a/source/frontends/serving/serving_settings.h
+++ b/source/frontends/serving/serving_settings.h
@@ -75,6 +75,18 @@
     0,
     1'000'000'000,
     "tokens that the fleet may admit for a team beyond its quota"};
+inline constexpr DecimalSetting kColdOverage{
+    "limits",
+    "cold_overage",
+    0,
+    0,
+    1'000,
+    "a cold worker may get this many times its rate, over all routers; 0: "
+    "cold workers are not limited (gateway)"};
+inline constexpr DecimalSetting kColdSlack{
+    "limits",  "cold_slack",
+    0,         0,
+    1'000'000, "requests to a cold worker in a second beyond cold_overage"};
 inline constexpr NumberSetting kWeightStoreLoads{
     "limits",
     "weight_store_loads",
@@ -115,6 +127,8 @@
   std::int64_t retry_percent = 0;
   std::int64_t retry_reserve = 0;
   std::int64_t quota_slack = 0;
+  double cold_overage = 0;
+  double cold_slack = 0;
   std::int64_t weight_store_loads = 0;
   std::int64_t grace_s = 0;
   std::int64_t memory_mb = 0;
--- a/source/frontends/settings.h
+++ b/source/frontends/settings.h
@@ -46,6 +46,16 @@
   std::string_view help;
 };
 
+// A limit as above whose fraction counts.
+struct DecimalSetting {
+  std::string_view section;
+  std::string_view key;
+  double default_value = 0;
+  double min_value = 0;
+  double max_value = 0;
+  std::string_view help;
+};
+
 using TextSetting = Setting<std::string_view>;
 using FlagSetting = Setting<bool>;
 
--- a/source/frontends/settings_reader.h
+++ b/source/frontends/settings_reader.h
@@ -33,6 +33,12 @@
 };
 using GStringPtr = std::unique_ptr<gchar, GStringDeleter>;
 
+inline std::string FormatDecimal(double number) {
+  std::ostringstream text;
+  text << number;
+  return text.str();
+}
+
 // A declared setting of any type, as it appears in a settings file.
 struct DeclaredSetting {
   std::string section;
@@ -61,6 +67,11 @@
           std::to_string(setting.default_value), std::string(setting.help)};
 }
 
+inline DeclaredSetting ToDeclaredSetting(const DecimalSetting& setting) {
+  return {std::string(setting.section), std::string(setting.key),
+          FormatDecimal(setting.default_value), std::string(setting.help)};
+}
+
 // A limit that is used with another value than the file has.
 struct AdjustedSetting {
   // "section.key".
@@ -138,26 +149,34 @@
       return setting.default_value;
     if (value->empty())
       return Adjust(setting, *value, setting.default_value);
-    double number = 0;
-    const char* end = value->data() + value->size();
-    const auto [stop, error] = std::from_chars(value->data(), end, number);
-    // A number beyond the range of `double` is either huge or nearly zero.
-    const bool out_of_range = error == std::errc::result_out_of_range;
-    const bool valid = stop == end && (error == std::errc{} || out_of_range) &&
-                       !std::isnan(number);
-    if (!valid) {
-      AddError(setting.section, setting.key,
-               "is '" + *value + "'; expected a number");
+    const std::optional<double> number =
+        ParseLimit(setting.section, setting.key, *value);
+    if (!number)
       return setting.default_value;
-    }
-    if (out_of_range)
-      number = OutOfRangeValue(*value);
     // Both limits of a range are exact as `double`.
     const double used =
-        std::clamp(std::floor(number), static_cast<double>(setting.min_value),
+        std::clamp(std::floor(*number), static_cast<double>(setting.min_value),
                    static_cast<double>(setting.max_value));
     const auto limit = static_cast<std::int64_t>(used);
-    return used == number ? limit : Adjust(setting, *value, limit);
+    return used == *number ? limit : Adjust(setting, *value, limit);
+  }
+
+  double ReadDecimal(const DecimalSetting& setting) {
+    Declare(ToDeclaredSetting(setting));
+    const std::optional<std::string> value =
+        FindValue(setting.section, setting.key);
+    // A limit that the platform doesn't have is no adjustment.
+    if (!value || value->empty())
+      return setting.default_value;
+    const std::optional<double> number =
+        ParseLimit(setting.section, setting.key, *value);
+    if (!number)
+      return setting.default_value;
+    const double used =
+        std::clamp(*number, setting.min_value, setting.max_value);
+    if (used != *number)
+      Adjust(setting, *value, static_cast<std::int64_t>(used));
+    return used;
   }
 
   void Check(bool valid,
@@ -195,7 +214,26 @@
     return text.starts_with('-') ? -magnitude : magnitude;
   }
 
-  std::int64_t Adjust(const LimitSetting& setting,
+  // Returns the number, or adds an error.
+  std::optional<double> ParseLimit(std::string_view section,
+                                   std::string_view key,
+                                   const std::string& value) {
+    double number = 0;
+    const char* end = value.data() + value.size();
+    const auto [stop, error] = std::from_chars(value.data(), end, number);
+    // A number beyond the range of `double` is either huge or nearly zero.
+    const bool out_of_range = error == std::errc::result_out_of_range;
+    const bool valid = stop == end && (error == std::errc{} || out_of_range) &&
+                       !std::isnan(number);
+    if (!valid) {
+      AddError(section, key, "is '" + value + "'; expected a number");
+      return std::nullopt;
+    }
+    return out_of_range ? OutOfRangeValue(value) : number;
+  }
+
+  template <typename Setting>
+  std::int64_t Adjust(const Setting& setting,
                       const std::string& given,
                       std::int64_t used) {
     m_adjusted.push_back(
--- a/source/unit_tests/frontends/serving_settings_test.cc
+++ b/source/unit_tests/frontends/serving_settings_test.cc
@@ -96,6 +96,22 @@
   }
 }
 
+TEST(ServingSettings, BoundsOfColdWorkersMayBeFractionsOrMissing) {
+  const auto parse = [](const std::string& more) {
+    return ParseServingSettings(GatewayFile("[limits]\n" + more), "g.ini");
+  };
+  EXPECT_DOUBLE_EQ(parse("cold_overage = 1.5\n").cold_overage, 1.5);
+  EXPECT_DOUBLE_EQ(parse("cold_slack = 5\n").cold_slack, 5);
+  for (const std::string missing : {"", "cold_overage =\ncold_slack =\n"}) {
+    EXPECT_DOUBLE_EQ(parse(missing).cold_overage, 0);
+    EXPECT_DOUBLE_EQ(parse(missing).cold_slack, 0);
+    EXPECT_EQ(parse(missing).adjusted, "");
+  }
+  EXPECT_EQ(parse("cold_slack = -2\n").adjusted,
+            "limits.cold_slack: '-2' used as 0");
+  EXPECT_THROW(parse("cold_overage = much\n"), Error);
+}
+
 TEST(ServingSettings, WeightStoreLoadsDefaultToAutomatic) {
   const auto parse = [](const std::string& more) {
     return ParseServingSettings(GatewayFile(more), "g.ini").weight_store_loads;
--- a/source/wire/peer_codec.cc
+++ b/source/wire/peer_codec.cc
@@ -385,6 +385,34 @@
   return {.number = in.number(), .pool = in.pool(), .granted = in.granted()};
 }
 
+void EncodeBody(const ColdPlaceRequest& message, wire::Envelope& envelope) {
+  wire::ColdPlaceAsk& out = *envelope.mutable_cold_place_ask();
+  out.set_worker(message.worker);
+  out.set_number(message.number);
+  out.set_wanted(message.wanted);
+  out.set_urgency(message.urgency);
+  out.set_prompt_tokens(message.prompt_tokens);
+}
+
+ColdPlaceRequest DecodeBody(wire::ColdPlaceAsk& in) {
+  return {.worker = in.worker(),
+          .number = in.number(),
+          .wanted = in.wanted(),
+          .urgency = in.urgency(),
+          .prompt_tokens = in.prompt_tokens()};
+}
+
+void EncodeBody(const ColdPlaceGrant& message, wire::Envelope& envelope) {
+  wire::ColdPlaceGrant& out = *envelope.mutable_cold_place_grant();
+  out.set_worker(message.worker);
+  out.set_number(message.number);
+  out.set_places(message.places);
+}
+
+ColdPlaceGrant DecodeBody(wire::ColdPlaceGrant& in) {
+  return {.worker = in.worker(), .number = in.number(), .places = in.places()};
+}
+
 void EncodeBody(const LoadRequest& message, wire::Envelope& envelope) {
   wire::LoadAsk& out = *envelope.mutable_load_ask();
   out.set_model(message.model);
@@ -495,6 +523,10 @@
       return DecodeBody(*envelope.mutable_load_ask());
     case Body::kEngineNews:
       return DecodeBody(*envelope.mutable_engine_news());
+    case Body::kColdPlaceAsk:
+      return DecodeBody(*envelope.mutable_cold_place_ask());
+    case Body::kColdPlaceGrant:
+      return DecodeBody(*envelope.mutable_cold_place_grant());
     case Body::BODY_NOT_SET:
       break;
   }
