Estimate the wait for places by what this router has seen

The first estimate assumed that all routers had as many waiting requests as this one, and would have refused requests that were served in time. Requests that are sent or end no longer count as waiting. Tests are being compiled; none was run yet.

--- a/source/core/serving/cold_owners.cc
+++ b/source/core/serving/cold_owners.cc
@@ -34,9 +34,10 @@
 void ColdOwners::OnChanged(TimePoint now) {
   // For a second after the delay, ActsSince() still tells that the places of
   // the same second may have been granted by the router that is gone.
-  constexpr Duration kKept = kOwnerChangeDelay + std::chrono::seconds(1);
-  std::erase_if(m_routers, [now](const auto& entry) {
-    return !entry.second.IsListed() && now - entry.second.removed_at > kKept;
+  const TimePoint kept_since =
+      now - kOwnerChangeDelay - std::chrono::seconds(1);
+  std::erase_if(m_routers, [kept_since](const auto& entry) {
+    return !entry.second.IsListed() && entry.second.removed_at < kept_since;
   });
   m_orders.clear();
 }
--- a/source/core/serving/cold_places.cc
+++ b/source/core/serving/cold_places.cc
@@ -38,10 +38,9 @@
                      const PeerSender& from,
                      ColdPlaceRequest request) {
   Waiting& waiting = m_waiting[from.vm];
-  const bool is_old =
-      waiting.incarnation > from.incarnation ||
-      (waiting.incarnation == from.incarnation &&
-       waiting.request.number >= request.number && waiting.request.number > 0);
+  const bool is_old = waiting.incarnation == from.incarnation &&
+                      waiting.request.number >= request.number &&
+                      waiting.request.number > 0;
   if (is_old)
     return;
   waiting = {.incarnation = from.incarnation,
@@ -60,6 +59,8 @@
 std::vector<ColdPlaces::Grant> ColdPlaces::GrantFree(TimePoint now,
                                                      const ColdLimit& limit) {
   Accrue(now, limit);
+  if (m_level < 1)
+    return {};
   std::vector<std::pair<const std::string*, Waiting*>> order;
   for (auto& [vm, waiting] : m_waiting) {
     if (waiting.received != kNever && now - waiting.received > kMaxWait)
--- a/source/core/serving/cold_workers.cc
+++ b/source/core/serving/cold_workers.cc
@@ -69,6 +69,8 @@
 
 void ColdWorkers::OnWorkerRemoved(const std::string& id) {
   m_known.erase(id);
+  std::erase_if(m_waits_at,
+                [&id](const auto& entry) { return entry.second == id; });
   m_asked.erase(id);
   m_places.erase(id);
 }
@@ -135,14 +137,31 @@
 void ColdWorkers::Await(TimePoint now,
                         const std::string& worker,
                         const ColdRequest& request) {
+  if (!IsWaiting(worker, request.id))
+    Forget(request.id);
+  m_waits_at[request.id] = worker;
   Asked& asked = m_asked[worker];
-  asked.waiting[request.id] = {.request = request, .repeated_at = now};
+  Waiting& waiting =
+      asked.waiting.try_emplace(request.id, Waiting{.since = now})
+          .first->second;
+  waiting.request = request;
+  waiting.repeated_at = now;
   AskIfDue(now, worker, asked);
 }
 
 bool ColdWorkers::IsWaiting(const std::string& worker, RequestId id) const {
-  const auto asked = m_asked.find(worker);
-  return asked != m_asked.end() && asked->second.waiting.contains(id);
+  const auto found = m_waits_at.find(id);
+  return found != m_waits_at.end() && found->second == worker;
+}
+
+void ColdWorkers::Forget(RequestId id) {
+  const auto found = m_waits_at.find(id);
+  if (found == m_waits_at.end())
+    return;
+  const auto asked = m_asked.find(found->second);
+  if (asked != m_asked.end())
+    asked->second.waiting.erase(id);
+  m_waits_at.erase(found);
 }
 
 std::uint32_t ColdWorkers::Wanted(const Asked& asked) {
@@ -166,8 +185,11 @@
 void ColdWorkers::AskIfDue(TimePoint now,
                            const std::string& worker,
                            Asked& asked) {
-  std::erase_if(asked.waiting, [now](const auto& entry) {
-    return now - entry.second.repeated_at > kWaitingExpiry;
+  std::erase_if(asked.waiting, [this, now](const auto& entry) {
+    const bool expired = now - entry.second.repeated_at > kWaitingExpiry;
+    if (expired)
+      m_waits_at.erase(entry.first);
+    return expired;
   });
   std::erase_if(asked.open, [now](const auto& entry) {
     return now - entry.second >= kPlaceLifetime;
@@ -222,10 +244,11 @@
   const Duration warm_in = RemainingTime(now, worker);
   if (limit->places_per_second <= 0)
     return warm_in;
-  const double waiting = static_cast<double>(asked->second.waiting.size()) *
-                         static_cast<double>(m_owners.size());
-  const auto wait = std::chrono::duration_cast<Duration>(
+  const double waiting = static_cast<double>(asked->second.waiting.size());
+  auto wait = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(waiting / limit->places_per_second));
+  for (const auto& [id, request] : asked->second.waiting)
+    wait = std::max(wait, now - request.since);
   return std::min(wait, warm_in);
 }
 
--- a/source/core/serving/cold_workers.h
+++ b/source/core/serving/cold_workers.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -78,13 +79,17 @@
   // sent.
   bool TakePlace(TimePoint now, const std::string& worker);
 
-  // The request waits for a place at the worker. To be repeated while it does.
+  // The request waits for a place at this worker, and no longer at another. To
+  // be repeated while it does.
   void Await(TimePoint now,
              const std::string& worker,
              const ColdRequest& request);
   bool IsWaiting(const std::string& worker, RequestId id) const;
-  // Returns how long a further request would probably wait, if the waiting
-  // requests of all routers were like those of this one.
+  // The request no longer waits.
+  void Forget(RequestId id);
+  // Returns how long a further request would wait at least, as far as this
+  // router can tell: as long as its first request has waited, and until its
+  // waiting requests would have places if no other router asked for any.
   Duration ExpectedWait(TimePoint now, const std::string& worker) const;
   // How long the worker is cold by what is known.
   Duration RemainingTime(TimePoint now, const std::string& worker) const;
@@ -115,6 +120,7 @@
   };
   struct Waiting {
     ColdRequest request;
+    TimePoint since;
     TimePoint repeated_at;
   };
   // What this router has asked of the owner of one worker.
@@ -148,6 +154,8 @@
   std::map<std::string, Known> m_known;
   std::map<std::string, Asked> m_asked;
   std::map<std::string, ColdPlaces> m_places;
+  // The worker at which each request waits.
+  std::unordered_map<RequestId, std::string> m_waits_at;
   std::uint64_t m_last_number;
   ColdMetrics m_metrics;
   ColdMetrics m_logged;
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -140,6 +140,7 @@
 void RequestTable::ReleaseHold(const Exchange& exchange) {
   if (m_held.erase(exchange.request->id) == 0)
     return;
+  m_state.cold_workers.Forget(exchange.request->id);
   const auto held = m_held_by_weights.find(exchange.weights);
   if (--held->second == 0)
     m_held_by_weights.erase(held);
--- a/source/unit_tests/core/serving/cold_fleet.h
+++ b/source/unit_tests/core/serving/cold_fleet.h
@@ -192,14 +192,15 @@
 
   void SendRequests(Router& router) {
     for (std::size_t i = 0; i < m_options.demand; ++i) {
+      const RequestId id = ++router.next_id % 50;
       if (router.cold->TakePlace(m_now, kWorker)) {
+        router.cold->Forget(id);
         m_sent.push_back(m_now);
         continue;
       }
       router.cold->Await(
           m_now, kWorker,
-          {.id = ++router.next_id % 50,
-           .urgency = static_cast<std::uint32_t>(m_random.Below(3))});
+          {.id = id, .urgency = static_cast<std::uint32_t>(m_random.Below(3))});
     }
   }
 
