Wake waiting requests by what they wait for, in order of urgency

Held requests were a set in order of arrival, and each change of a worker tried all of them again: the cost was the product of workers and requests, and a place that came free went to whoever came first. WaitingRequests owns them now: indexed by what they wait for (weights, a worker, a retry, another copy's turn), woken by that only, tried by urgency that ages with the permitted wait, teams in turn, and the time left. A run that ends, a worker that can be used again and an earned retry wake too, which only the check after 100 ms found before. Requests of a kind that can't be sent are passed over after the first.

--- a/source/benchmarks/decision_benchmark.cc
+++ b/source/benchmarks/decision_benchmark.cc
@@ -12,6 +12,7 @@
 #include "core/quota/quota_manager.h"
 #include "core/scheduling/fair_queue.h"
 #include "core/scheduling/load_balancing.h"
+#include "core/serving/serving_router.h"
 #include "wire/peer_codec.h"
 
 namespace boragepick {
@@ -143,6 +144,94 @@
 }
 BENCHMARK(PeerChunkCodec);
 
+// Requests that wait for models while workers change which hold none of them.
+class WaitingBenchmark {
+ public:
+  static constexpr std::size_t kWaiting = 1'000;
+  static constexpr std::size_t kModels = 50;
+
+  explicit WaitingBenchmark(std::size_t workers)
+      : m_router({.vm = "r1", .endpoint = "10.1.0.1:7"}) {
+    EngineSpec engine{.slots = 8, .memory_mb = 100, .adapter_slots = 2};
+    for (std::size_t i = 0; i < kModels; ++i) {
+      const std::string name = "m" + std::to_string(i);
+      engine.models[name] = {.name = name, .memory_mb = 40};
+    }
+    m_config.routes = {{.name = "ask",
+                        .host = "h",
+                        .prefix = "/",
+                        .timeout = std::chrono::hours(1),
+                        .target_latency = std::chrono::hours(1),
+                        .splits = {{.service = "engines"}},
+                        .is_public = true}};
+    m_config.services["engines"] = {.name = "engines", .engine = engine};
+    ReceiveConfig();
+    for (std::size_t i = 0; i < workers; ++i)
+      m_router.Handle(kStart, WorkerListed{.entry = Entry(i, /*born=*/1)});
+    // The service has workers, but none with the models.
+    for (RequestId id = 1; id <= kWaiting; ++id) {
+      auto request = std::make_shared<ServingRequest>();
+      request->id = id;
+      request->target = "/x";
+      request->host = "h";
+      request->model = "m" + std::to_string(id % kModels);
+      m_router.Handle(kStart, RequestArrived{.request = std::move(request)});
+    }
+  }
+
+  void ReceiveConfig() {
+    ++m_config.version;
+    m_router.Handle(
+        kStart, ConfigReceived{
+                    .config = std::make_shared<const ConfigIndex>(m_config)});
+  }
+  void ChangeWorker() {
+    ++m_changes;
+    m_router.Handle(kStart, WorkerListed{.entry = Entry(0, m_changes + 1)});
+  }
+  std::size_t waiting() const { return m_router.requests().waiting().size(); }
+
+ private:
+  static WorkerEntry Entry(std::size_t number, std::int64_t born) {
+    return {.id = "w" + std::to_string(number),
+            .service = "engines",
+            .address = "10.0." + std::to_string(number / 250) + "." +
+                       std::to_string(number % 250) + ":80",
+            .contents = {.born = born,
+                         .models = {{.name = "other", .version = 1}}}};
+  }
+
+  ServingRouter m_router;
+  ServingConfig m_config;
+  std::int64_t m_changes = 0;
+};
+
+// The argument is the number of workers.
+void WorkerChangeWithWaitingRequests(benchmark::State& state) {
+  WaitingBenchmark fleet(static_cast<std::size_t>(state.range(0)));
+  for (auto _ : state)
+    fleet.ChangeWorker();
+  state.counters["waiting"] = static_cast<double>(fleet.waiting());
+}
+BENCHMARK(WorkerChangeWithWaitingRequests)
+    ->Arg(180)
+    ->Arg(1'800)
+    ->Arg(10'000)
+    ->Unit(benchmark::kMicrosecond);
+
+// A new configuration, which tries all waiting requests.
+void ConfigChangeWithWaitingRequests(benchmark::State& state) {
+  WaitingBenchmark fleet(static_cast<std::size_t>(state.range(0)));
+  for (auto _ : state)
+    fleet.ReceiveConfig();
+  state.counters["waiting"] = static_cast<double>(fleet.waiting());
+}
+BENCHMARK(ConfigChangeWithWaitingRequests)
+    ->Arg(180)
+    ->Arg(1'800)
+    ->Arg(10'000)
+    ->Unit(benchmark::kMillisecond);
+
 }  // namespace
 }  // namespace boragepick
 
--- a/source/core/serving/request_attempts.cc
+++ b/source/core/serving/request_attempts.cc
@@ -13,8 +13,6 @@
 // Attempts of one request, including rejected ones. A stream that is held after
 // its worker fell silent may exceed this.
 constexpr std::uint32_t kMaxAttempts = 5;
-// Held requests are dispatched again at least this often.
-constexpr Duration kHoldCheckPeriod = std::chrono::milliseconds(100);
 // How long a broken stream is held for a worker that can resume it. Callers
 // give up a stream after a gap of two seconds or more.
 constexpr Duration kMaxResumeHold = std::chrono::milliseconds(1'800);
@@ -23,9 +21,6 @@
 // Backoff of a worker after another worker responded at its address, so that
 // the worker list can catch up.
 constexpr Duration kReplacedWorkerBackoff = std::chrono::seconds(3);
-// Why a request is held while another copy of it, which may crash its worker,
-// runs.
-constexpr const char* kAwaitsTrial = "other_copy_runs";
 
 }  // namespace
 
@@ -55,7 +50,7 @@
     exchange.awaits_retry_budget =
         !RetryBudgetFor(exchange.service).TryConsume();
     if (exchange.awaits_retry_budget)
-      return Hold(now, exchange, "no_retry_budget");
+      return Hold(now, exchange, WaitReason::kRetryBudget);
   }
   const ServingService* service =
       exchange.config->FindService(exchange.service);
@@ -110,7 +105,7 @@
   const bool is_late =
       pause && now + *pause > exchange.arrived + exchange.route->target_latency;
   if (!is_late || exchange.head_sent || exchange.possible_runs > 0)
-    return Hold(now, exchange, "no_worker");
+    return Hold(now, exchange, WaitReason::kWorker);
   // Callers that all return when the pause ends would fill the workers again.
   const auto spread = static_cast<Duration::rep>(
       m_state.random.Below(static_cast<std::uint64_t>(pause->count())));
@@ -130,57 +125,63 @@
 }
 
 std::uint32_t RequestTable::HeldRequestCount(const std::string& weights) const {
-  const auto found = m_held_by_weights.find(weights);
-  return found == m_held_by_weights.end() ? 1 : found->second;
+  return std::max(1U, m_waiting.CountOf(weights));
 }
 
-void RequestTable::ReleaseHold(const Exchange& exchange) {
-  if (m_held.erase(exchange.request->id) == 0)
-    return;
-  const auto held = m_held_by_weights.find(exchange.weights);
-  if (--held->second == 0)
-    m_held_by_weights.erase(held);
-}
-
-void RequestTable::Hold(TimePoint now,
-                        Exchange& exchange,
-                        const std::string& reason) {
+void RequestTable::Hold(TimePoint now, Exchange& exchange, WaitReason reason) {
   if (exchange.silent_attempt)
     return ContinueSilentAttempt(now, exchange);
-  if (exchange.held_since == kNever || exchange.stage != ExchangeStage::kHeld ||
-      !m_held.contains(exchange.request->id)) {
+  const ServingRequest& request = *exchange.request;
+  if (!m_waiting.Contains(request.id)) {
     exchange.held_since = now;
     ++m_metrics.held;
     m_state.Log(LogEvent::kRequestHeld,
-                {{"request", exchange.request->trace_id},
-                 {"why", reason},
+                {{"request", request.trace_id},
+                 {"why", std::string(kWaitReasonNames.Name(reason))},
                  {"weights", exchange.weights},
                  {"service", exchange.service},
                  {"runs", std::to_string(exchange.possible_runs)}});
   }
   exchange.stage = ExchangeStage::kHeld;
-  if (m_held.insert(exchange.request->id).second)
-    ++m_held_by_weights[exchange.weights];
+  const TimePoint end = HoldEnd(exchange);
+  if (now >= end)
+    return EndHold(now, exchange, reason);
+  m_waiting.Put(now, {.id = request.id,
+                      .reason = reason,
+                      .service = exchange.service,
+                      .model = request.model,
+                      .weights = exchange.weights,
+                      .route = exchange.route->name,
+                      .team = exchange.team,
+                      .urgency = exchange.urgency,
+                      .since = exchange.held_since,
+                      .until = end,
+                      .has_tried_workers = !exchange.tried_workers.empty()});
+  ScheduleCheck(exchange, end);
+}
+
+TimePoint RequestTable::HoldEnd(const Exchange& exchange) const {
+  if (!exchange.head_sent)
+    return exchange.arrived + HoldLimit(exchange);
   // A stream whose worker fell silent is held until its deadline, since its
   // caller may wait longer than kMaxResumeHold.
-  TimePoint limit = exchange.arrived + HoldLimit(exchange);
-  if (exchange.head_sent && exchange.last_run_was_silent)
-    limit = exchange.deadline;
-  else if (exchange.head_sent)
-    limit = exchange.held_since + kMaxResumeHold;
-  if (now >= limit) {
-    if (exchange.head_sent)
-      return Abort(now, exchange, reason);
-    ServingRefusal refusal = ServingRefusal::kModelNotLoaded;
-    if (exchange.possible_runs > 0)
-      refusal = ServingRefusal::kWorkerFailed;
-    else if (reason == "no_worker")
-      refusal = ServingRefusal::kNoWorker;
-    else if (reason == kAwaitsTrial)
-      refusal = ServingRefusal::kWorkersFull;
-    return Refuse(now, exchange, refusal);
-  }
-  ScheduleCheck(exchange, std::min(now + kHoldCheckPeriod, limit));
+  return exchange.last_run_was_silent ? exchange.deadline
+                                      : exchange.held_since + kMaxResumeHold;
+}
+
+void RequestTable::EndHold(TimePoint now,
+                           Exchange& exchange,
+                           WaitReason reason) {
+  if (exchange.head_sent)
+    return Abort(now, exchange, std::string(kWaitReasonNames.Name(reason)));
+  ServingRefusal refusal = ServingRefusal::kModelNotLoaded;
+  if (exchange.possible_runs > 0)
+    refusal = ServingRefusal::kWorkerFailed;
+  else if (reason == WaitReason::kWorker)
+    refusal = ServingRefusal::kNoWorker;
+  else if (reason == WaitReason::kTurn)
+    refusal = ServingRefusal::kWorkersFull;
+  Refuse(now, exchange, refusal);
 }
 
 void RequestTable::SendTo(TimePoint now,
@@ -191,7 +192,7 @@
   if (left < kMinAttemptTime)
     return TimeOut(now, exchange);
   if (!HasTurn(now, exchange))
-    return Hold(now, exchange, kAwaitsTrial);
+    return Hold(now, exchange, WaitReason::kTurn);
   const ServingRequest& request = *exchange.request;
   Worker& worker = *choice.worker;
   Attempt& attempt = exchange.attempt.emplace();
@@ -209,9 +210,9 @@
   worker.prefix_cache.RecordPrompt(exchange.weights, request.prompt);
   ++exchange.attempts_sent;
   exchange.stage = ExchangeStage::kRunning;
-  if (m_held.contains(request.id))
+  if (m_waiting.Contains(request.id))
     m_metrics.hold.Add(now - exchange.held_since);
-  ReleaseHold(exchange);
+  m_waiting.RecordSent(request.id);
   m_attempts.emplace(attempt.number, request.id);
   m_state.Log(LogEvent::kRequestRouted,
               {{"request", request.trace_id},
@@ -251,6 +252,7 @@
   if (worker != nullptr) {
     worker->pending_prefill_tokens -= attempt.prefill_tokens;
     WorkerTable::RecordRunEnd(*worker, exchange.weights);
+    m_waiting.OnWorkerChanged(*worker);
   }
   m_attempts.erase(attempt.number);
 }
@@ -290,7 +292,7 @@
     return HandleAttemptFailure(now, *exchange, reason);
   Worker* worker = m_state.workers.Find(exchange->attempt->worker);
   if (worker != nullptr)
-    m_state.workers.RecordFailure(now, *worker);
+    RecordWorkerFailure(now, *worker);
   exchange->tried_workers.insert(exchange->attempt->worker);
   CloseAttempt(*exchange);
   const bool is_last = exchange->attempts_sent >= kMaxAttempts;
@@ -298,7 +300,7 @@
     return ContinueSilentAttempt(now, *exchange);
   if (is_last && exchange->head_sent && exchange->last_run_was_silent) {
     exchange->awaits_retry_budget = true;
-    return Hold(now, *exchange, reason);
+    return Hold(now, *exchange, WaitReason::kRetryBudget);
   }
   if (is_last)
     return exchange->head_sent ? Abort(now, *exchange, reason)
@@ -309,6 +311,11 @@
   Dispatch(now, *exchange);
 }
 
+void RequestTable::RecordWorkerFailure(TimePoint now, Worker& worker) {
+  m_state.workers.RecordFailure(now, worker);
+  m_waiting.OnWorkerAvoided(worker.entry.id, worker.backoff_until);
+}
+
 void RequestTable::RecordWorkerStatements(TimePoint now,
                                           const Exchange& exchange,
                                           const UpstreamResponseHead& head) {
@@ -324,6 +331,8 @@
     return;
   m_state.workers.RecordPause(now, attempt.worker, attempt.worker_born,
                               *head.retry_after);
+  if (const Worker* worker = m_state.workers.Find(attempt.worker))
+    m_waiting.OnWorkerAvoided(attempt.worker, worker->paused_until);
   m_state.Log(LogEvent::kWorkerPaused,
               {{"worker", attempt.worker},
                {"request", exchange.request->trace_id},
@@ -338,6 +347,7 @@
     return;
   if (head.other_worker) {
     worker->backoff_until = now + kReplacedWorkerBackoff;
+    m_waiting.OnWorkerAvoided(worker->entry.id, worker->backoff_until);
     return;
   }
   constexpr unsigned kMisdirected = 421;
@@ -357,7 +367,7 @@
     return ContinueSilentAttempt(now, exchange);
   if (!can_retry && exchange.head_sent && exchange.last_run_was_silent) {
     exchange.awaits_retry_budget = true;
-    return Hold(now, exchange, "workers_full");
+    return Hold(now, exchange, WaitReason::kRetryBudget);
   }
   if (!can_retry) {
     if (exchange.head_sent)
--- a/source/core/serving/request_crashes.cc
+++ b/source/core/serving/request_crashes.cc
@@ -74,12 +74,12 @@
       LogEvent::kFingerprintConvicted,
       {{"fingerprint", HexNumber(fingerprint)},
        {"crashes", JoinNames(m_crash_suspects.CrashesOf(fingerprint))}});
-  CheckRunningRequests(now);
+  CheckOpenRequests(now);
 }
 
-void RequestTable::CheckRunningRequests(TimePoint now) {
+void RequestTable::CheckOpenRequests(TimePoint now) {
   for (auto& [id, exchange] : m_exchanges) {
-    if (exchange.stage == ExchangeStage::kRunning)
+    if (exchange.stage != ExchangeStage::kWaitingTokens)
       ScheduleCheck(exchange, now);
   }
 }
@@ -95,8 +95,10 @@
 }
 
 void RequestTable::RecordCompletedRun(TimePoint now, const Exchange& exchange) {
-  if (const auto cleared = m_crash_suspects.RecordCompletedRun(now, exchange))
+  if (const auto cleared = m_crash_suspects.RecordCompletedRun(now, exchange)) {
     m_state.fleet.Broadcast(*cleared);
+    m_waiting.OnTurnsChanged();
+  }
   if (const auto cleared =
           m_crash_suspects.RecordProgress(now, exchange, /*complete=*/true))
     OnPartsCleared(exchange, *cleared);
@@ -119,6 +121,7 @@
   const bool was_convicted =
       m_crash_suspects.IsConvicted(now, notice.fingerprint);
   m_crash_suspects.ApplyNotice(now, notice);
+  m_waiting.OnTurnsChanged();
   OnConvictions(now);
   if (!was_convicted && m_crash_suspects.IsConvicted(now, notice.fingerprint))
     OnRequestConvicted(now, notice.fingerprint);
@@ -141,7 +144,7 @@
     m_state.Log(LogEvent::kPartConvicted,
                 {{"part", PromptPartName(part)}, {"crashes", crashes}});
   }
-  CheckRunningRequests(now);
+  CheckOpenRequests(now);
   return true;
 }
 
--- a/source/core/serving/request_loads.cc
+++ b/source/core/serving/request_loads.cc
@@ -46,7 +46,7 @@
     RequestWeights(now, exchange, engine);
     if (CanNeverLoad(now, exchange))
       return Refuse(now, exchange, ServingRefusal::kModelNotLoaded);
-    return Hold(now, exchange, "model_not_loaded");
+    return Hold(now, exchange, WaitReason::kWeights);
   }
   if (choice.cost > kReplicationDelayThreshold && request.adapter.empty())
     RequestWeights(now, exchange, engine);
--- a/source/core/serving/request_silence.cc
+++ b/source/core/serving/request_silence.cc
@@ -64,7 +64,7 @@
   Worker* worker = m_state.workers.Find(exchange.attempt->worker);
   if (worker == nullptr)
     return;
-  m_state.workers.RecordFailure(now, *worker);
+  RecordWorkerFailure(now, *worker);
   m_state.Log(LogEvent::kWorkerSuspected,
               {{"worker", worker->entry.id},
                {"request", exchange.request->trace_id},
--- a/source/core/serving/request_table.cc
+++ b/source/core/serving/request_table.cc
@@ -112,7 +112,10 @@
   exchange.deadline =
       now + std::min(exchange.route->timeout,
                      exchange.request->timeout.value_or(Duration::max() / 4));
-  RetryBudgetFor(exchange.service).RecordRequest();
+  RetryBudget& budget = RetryBudgetFor(exchange.service);
+  budget.RecordRequest();
+  if (budget.Allows(1))
+    m_waiting.OnRetriesEarned(exchange.service);
   if (!exchange.request->model.empty())
     m_load_planner.RecordRequest(now, exchange.request->model,
                                  exchange.request->adapter);
@@ -262,22 +265,25 @@
   Remove(*exchange);
 }
 
-void RequestTable::DispatchHeld(TimePoint now) {
-  const std::vector<RequestId> held(m_held.begin(), m_held.end());
-  for (const RequestId id : held) {
-    Exchange* exchange = Find(id);
-    if (exchange != nullptr && exchange->stage == ExchangeStage::kHeld)
+void RequestTable::OnWorkerChanged(const Worker& worker) {
+  m_waiting.OnWorkerChanged(worker);
+}
+
+void RequestTable::DispatchWoken(TimePoint now) {
+  m_waiting.TryWoken(now, m_state.workers, [this, now](RequestId id) {
+    if (Exchange* exchange = Find(id))
       Dispatch(now, *exchange);
-  }
+  });
 }
 
 void RequestTable::OnConfigChanged(TimePoint now) {
   m_state.fleet.Configure(now, m_state.config->config().teams);
-  DispatchHeld(now);
+  m_waiting.OnConfigChanged();
 }
 
 TimePoint RequestTable::NextCheck() const {
-  return m_checks.empty() ? kNever : m_checks.begin()->first;
+  const TimePoint next = m_checks.empty() ? kNever : m_checks.begin()->first;
+  return std::min(next, m_waiting.NextCheck());
 }
 
 void RequestTable::Tick(TimePoint now) {
@@ -419,7 +425,7 @@
   CancelSilentAttempt(exchange);
   CloseAttempt(exchange);
   ReleaseTrial(exchange);
-  ReleaseHold(exchange);
+  m_waiting.Remove(id);
   m_checks.erase({exchange.next_check, id});
   m_exchanges.erase(id);
 }
--- a/source/core/serving/request_table.h
+++ b/source/core/serving/request_table.h
@@ -20,6 +20,7 @@
 #include "core/serving/load_planner.h"
 #include "core/serving/serving_state.h"
 #include "core/serving/trial_slots.h"
+#include "core/serving/waiting_requests.h"
 #include "core/serving/worker_choice.h"
 
 namespace boragepick {
@@ -81,9 +82,10 @@
                        AttemptNumber attempt,
                        AttemptFailure failure);
 
-  // Dispatches the held requests again after a change of the configuration or
-  // of the workers.
-  void DispatchHeld(TimePoint now);
+  // A worker was listed, or its state or contents have changed.
+  void OnWorkerChanged(const Worker& worker);
+  // Dispatches the held requests that were woken by what happened before.
+  void DispatchWoken(TimePoint now);
   // A new configuration was applied.
   void OnConfigChanged(TimePoint now);
   // Performs the checks of requests that are due.
@@ -114,7 +116,7 @@
 
   TimePoint NextCheck() const;
   std::size_t open() const { return m_exchanges.size(); }
-  std::size_t held() const { return m_held.size(); }
+  const WaitingRequests& waiting() const { return m_waiting; }
   const ServingMetrics& metrics() const { return m_metrics; }
   const ResponseFlow& response_flow() const { return m_flow; }
 
@@ -172,8 +174,11 @@
                       const std::string& requester);
   // At least 1, since the request being dispatched may not be held yet.
   std::uint32_t HeldRequestCount(const std::string& weights) const;
-  void ReleaseHold(const Exchange& exchange);
-  void Hold(TimePoint now, Exchange& exchange, const std::string& reason);
+  void Hold(TimePoint now, Exchange& exchange, WaitReason reason);
+  // When a request that waits is refused or its stream aborted.
+  TimePoint HoldEnd(const Exchange& exchange) const;
+  // The request is held no longer.
+  void EndHold(TimePoint now, Exchange& exchange, WaitReason reason);
   void SendTo(TimePoint now, Exchange& exchange, const WorkerChoice& choice);
   // Updates the load of the attempt's worker after the attempt has ended.
   void ReleaseWorker(const Exchange& exchange, Attempt& attempt);
@@ -182,6 +187,8 @@
   WorkerChoiceInput MakeChoiceInput(const Exchange& exchange) const;
 
   // Results of attempts.
+  // The worker is avoided for a while.
+  void RecordWorkerFailure(TimePoint now, Worker& worker);
   // Applies what the response says of its worker: that it is leaving, or wants
   // no requests for a while.
   void RecordWorkerStatements(TimePoint now,
@@ -236,9 +243,9 @@
                             const Exchange& exchange,
                             const Attempt& attempt);
   void OnRequestConvicted(TimePoint now, Fingerprint fingerprint);
-  // Schedules checks of requests that wait at workers, which they would still
-  // crash.
-  void CheckRunningRequests(TimePoint now);
+  // Schedules checks of requests that wait here or at workers, which they would
+  // still crash.
+  void CheckOpenRequests(TimePoint now);
   void RecordAnswerProgress(TimePoint now, Exchange& exchange);
   void RecordCompletedRun(TimePoint now, const Exchange& exchange);
   void OnPartsCleared(const Exchange& exchange, const CrashNotice& notice);
@@ -303,10 +310,8 @@
   std::unordered_map<AttemptNumber, RequestId> m_attempts;
   // Requests queued for their team's quota, by team and in order of arrival.
   std::map<std::string, std::deque<RequestId>> m_quota_queues;
-  // Held requests in order of arrival.
-  std::set<RequestId> m_held;
-  // Number of held requests by weights.
-  std::map<std::string, std::uint32_t> m_held_by_weights;
+  // The held requests.
+  WaitingRequests m_waiting;
   // The next check of each request, in order of time.
   std::set<std::pair<TimePoint, RequestId>> m_checks;
   AttemptNumber m_last_attempt = 0;
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -31,6 +31,7 @@
 std::vector<ServingEffect> ServingRouter::Handle(TimePoint now,
                                                  ServingEvent event) {
   std::visit([this, now](auto& value) { On(now, value); }, event);
+  m_requests.DispatchWoken(now);
   ForwardFleetEffects(now);
   CheckKeys(now);
   if (m_draining)
@@ -102,7 +103,7 @@
   }
   if (was_ready && event.entry.state == WorkerState::kDraining)
     m_state.Log(LogEvent::kWorkerLeaving, {{"worker", event.entry.id}});
-  m_requests.DispatchHeld(now);
+  m_requests.OnWorkerChanged(*m_state.workers.Find(event.entry.id));
 }
 
 void ServingRouter::On(TimePoint now, const WorkerUnlisted& event) {
@@ -194,9 +195,10 @@
   const auto* update = std::get_if<EngineUpdate>(&event.message);
   if (update == nullptr)
     return;
-  if (m_state.workers.ApplyEngineUpdate(now, IpFromAddress(event.from.endpoint),
-                                        *update) != nullptr)
-    m_requests.DispatchHeld(now);
+  const Worker* worker = m_state.workers.ApplyEngineUpdate(
+      now, IpFromAddress(event.from.endpoint), *update);
+  if (worker != nullptr)
+    m_requests.OnWorkerChanged(*worker);
 }
 
 void ServingRouter::SendGrants(
--- a/source/frontends/serving/serving_metrics.cc
+++ b/source/frontends/serving/serving_metrics.cc
@@ -66,7 +66,15 @@
   writer.Add("quota_wait_seconds", metrics.quota_wait);
   writer.Add("hold_seconds", metrics.hold);
   writer.Add("open_requests", router.requests().open());
-  writer.Add("held_requests", router.requests().held());
+  const WaitingRequests& waiting = router.requests().waiting();
+  writer.Add("held_requests", waiting.size());
+  const TimePoint now = ReadBootClock();
+  for (const auto& [reason, count] : waiting.CountByReason()) {
+    const std::string label =
+        "{why=\"" + std::string(kWaitReasonNames.Name(reason)) + "\"}";
+    writer.Add("waiting_requests", count.requests, label);
+    writer.Add("oldest_wait_seconds", ToSeconds(now - count.since), label);
+  }
   writer.Add("workers", state.workers.size());
   writer.Add("config_version",
              state.config ? state.config->config().version : 0);
