--- a/source/core/serving/request_cold_places.cc
+++ b/source/core/serving/request_cold_places.cc
@@ -54,31 +54,8 @@
        .urgency = static_cast<std::uint32_t>(std::max(0, exchange.urgency)),
        .prompt_tokens =
            static_cast<std::uint32_t>(request.prompt_tokens.value_or(0))});
-  Hold(now, exchange, kAwaitsColdPlace);
+  Hold(now, exchange, WaitReason::kColdPlace);
   return true;
 }
 
-void RequestTable::DispatchToColdPlaces(TimePoint now) {
-  std::vector<const Exchange*> held;
-  for (const RequestId id : m_held) {
-    const Exchange* exchange = Find(id);
-    if (exchange != nullptr && exchange->stage == ExchangeStage::kHeld)
-      held.push_back(exchange);
-  }
-  std::ranges::sort(held, {}, [](const Exchange* exchange) {
-    const ServingRequest& request = *exchange->request;
-    return std::tuple(exchange->urgency, request.prompt_tokens.value_or(0),
-                      request.id);
-  });
-  std::vector<RequestId> ids;
-  ids.reserve(held.size());
-  for (const Exchange* exchange : held)
-    ids.push_back(exchange->request->id);
-  for (const RequestId id : ids) {
-    Exchange* exchange = Find(id);
-    if (exchange != nullptr && exchange->stage == ExchangeStage::kHeld)
-      Dispatch(now, *exchange);
-  }
-}
-
 }  // namespace boragepick
--- a/source/core/serving/serving_router.cc
+++ b/source/core/serving/serving_router.cc
@@ -31,6 +31,7 @@
 std::vector<ServingEffect> ServingRouter::Handle(TimePoint now,
                                                  ServingEvent event) {
   std::visit([this, now](auto& value) { On(now, value); }, event);
+  m_requests.DispatchWoken(now);
   ForwardFleetEffects(now);
   ForwardColdPlaces(now);
   CheckKeys(now);
@@ -107,7 +108,7 @@
   }
   if (was_ready && event.entry.state == WorkerState::kDraining)
     m_state.Log(LogEvent::kWorkerLeaving, {{"worker", event.entry.id}});
-  m_requests.DispatchHeld(now);
+  m_requests.OnWorkerChanged(*m_state.workers.Find(event.entry.id));
 }
 
 void ServingRouter::On(TimePoint now, const WorkerUnlisted& event) {
@@ -190,7 +191,7 @@
               {{"data_centre", event.data_centre},
                {"revision", std::to_string(event.revision)},
                {"in_effect_ms", FormatMilliseconds(left)}});
-  m_requests.DispatchHeld(now);
+  m_requests.OnEvacuationsChanged();
   m_requests.LoadDisplacedModels(now);
 }
 
@@ -208,14 +209,14 @@
   for (const std::string& data_centre :
        m_state.evacuations.Sync(event.data_centres))
     On(now, EvacuationEnded{.data_centre = data_centre});
-  m_requests.DispatchHeld(now);
+  m_requests.OnEvacuationsChanged();
 }
 
 void ServingRouter::OnEvacuationEnded(TimePoint now,
                                       const std::string& data_centre) {
   m_state.Log(LogEvent::kEvacuationEnded, {{"data_centre", data_centre}});
   m_state.cold_workers.SuspectCold(now, data_centre);
-  m_requests.DispatchHeld(now);
+  m_requests.OnEvacuationsChanged();
 }
 
 void ServingRouter::On(TimePoint now, const StoreReverted& event) {
@@ -248,8 +249,10 @@
   ColdWorkers& cold = m_state.cold_workers;
   if (!cold.IsActive())
     return;
-  if (cold.TakeArrived())
-    m_requests.DispatchToColdPlaces(now);
+  if (cold.TakeArrived()) {
+    m_requests.OnColdPlacesArrived();
+    m_requests.DispatchWoken(now);
+  }
   for (ColdWorkers::Outgoing& outgoing : cold.TakeOutgoing())
     m_state.fleet.SendToVm(outgoing.vm, std::move(outgoing.message));
   for (LogRecord& record : cold.TakeLog())
@@ -286,9 +289,10 @@
   const auto* update = std::get_if<EngineUpdate>(&event.message);
   if (update == nullptr)
     return;
-  if (m_state.workers.ApplyEngineUpdate(now, IpFromAddress(event.from.endpoint),
-                                        *update) != nullptr)
-    m_requests.DispatchHeld(now);
+  const Worker* worker = m_state.workers.ApplyEngineUpdate(
+      now, IpFromAddress(event.from.endpoint), *update);
+  if (worker != nullptr)
+    m_requests.OnWorkerChanged(*worker);
 }
 
 void ServingRouter::SendGrants(
--- a/source/frontends/serving/serving_metrics.cc
+++ b/source/frontends/serving/serving_metrics.cc
@@ -93,7 +93,15 @@
   writer.Add("hold_seconds", metrics.hold);
   AddQuotaMetrics(router, writer);
   writer.Add("open_requests", router.requests().open());
-  writer.Add("held_requests", router.requests().held());
+  const WaitingRequests& waiting = router.requests().waiting();
+  writer.Add("held_requests", waiting.size());
+  const TimePoint now = ReadBootClock();
+  for (const auto& [reason, count] : waiting.CountByReason()) {
+    const std::string label =
+        "{why=\"" + std::string(kWaitReasonNames.Name(reason)) + "\"}";
+    writer.Add("waiting_requests", count.requests, label);
+    writer.Add("oldest_wait_seconds", ToSeconds(now - count.since), label);
+  }
   writer.Add("workers", state.workers.size());
   for (const auto& [data_centre, evacuation] : state.evacuations.active()) {
     writer.Add("evacuation_seconds",
