--- a/source/unit_tests/core/serving/cold_workers_test.cc
+++ b/source/unit_tests/core/serving/cold_workers_test.cc
@@ -158,6 +158,18 @@
   EXPECT_EQ(order, (std::vector<std::string>{"r3", "r2", "r1"}));
 }
 
+TEST(ColdPlaces, AfterAChangeOfTheOwnerOrTheWorkerNoPlaceIsLeft) {
+  const TimePoint start = TimePoint(seconds(1'000));
+  const ColdLimit limit{.places_per_second = 10, .burst = 5};
+  ColdPlaces places(start);
+  const TimePoint later = start + seconds(3);
+  places.Add(later, {.vm = "r1"}, {.worker = "w1", .number = 1, .wanted = 9});
+  places.Restart(later - milliseconds(100));
+  const auto grants = places.GrantFree(later, limit);
+  ASSERT_EQ(grants.size(), 1U);
+  EXPECT_EQ(grants[0].grant.places, 1U);
+}
+
 TEST(ColdPlaces, ARequestIsAnsweredOnceAlsoWhenItArrivesTwice) {
   const TimePoint start = TimePoint(seconds(1'000));
   const ColdLimit limit{.places_per_second = 100, .burst = 5};
