--- a/source/frontends/serving/serving_settings.cc
+++ b/source/frontends/serving/serving_settings.cc
@@ -62,7 +62,7 @@
 std::string FormatTable(const std::map<std::string, std::string>& table) {
   std::string text;
   for (const auto& [key, value] : table)
-    text += key + "=" + value + "\n";
+    text.append(key).append("=").append(value).append("\n");
   return text;
 }
 
