Let waiting requests age by a step a second, not each 300 ms

A step now takes a second, longer than interactive requests wait at all; the test against starvation passes unchanged.

--- a/source/core/serving/quota_queue.cc
+++ b/source/core/serving/quota_queue.cc
@@ -10,8 +10,9 @@
 
 constexpr Duration kRateMemory = std::chrono::milliseconds(500);
 // A request is one step more urgent for each such time that it has waited, so
-// that less urgent work isn't starved.
-constexpr Duration kAgeingTime = std::chrono::milliseconds(300);
+// that less urgent work isn't starved. Interactive requests wait for less, so
+// that they aren't overtaken by what has merely more time.
+constexpr Duration kAgeingTime = std::chrono::milliseconds(1'000);
 // The order by age is renewed once in this time.
 constexpr Duration kSortInterval = std::chrono::milliseconds(50);
 // Until requests have waited for this long, the rate that this router gets
