--- a/source/core/serving/request_cold_places.cc
+++ b/source/core/serving/request_cold_places.cc
@@ -12,7 +12,7 @@
     return false;
   const ServingRequest& request = *exchange.request;
   const std::uint32_t limit = ConnectionLimit(exchange);
-  std::vector<Worker*> workers = ReadyWorkers(exchange.service);
+  std::vector<Worker*> workers = ReadyWorkers(exchange);
   std::erase_if(workers, [&](const Worker* worker) {
     return !worker->IsUsable(now) || worker->running >= limit ||
            !cold.IsCold(now, worker->entry.id) ||
--- a/source/core/serving/request_quota.cc
+++ b/source/core/serving/request_quota.cc
@@ -9,7 +9,7 @@
 
 // A request waits for its team's quota for half of its latency objective within
 // these bounds.
-constexpr Duration kMaxQuotaWait = std::chrono::milliseconds(3'000);
+constexpr Duration kMaxQuotaWait = std::chrono::milliseconds(1'500);
 constexpr Duration kMinQuotaWait = std::chrono::milliseconds(100);
 // Bounds the work of ordering the queue.
 constexpr std::size_t kMaxQueuedPerTeam = 400;
