--- a/review/standins-2.h
+++ b/review/standins-2.h
@@ -10,7 +10,6 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -786,58 +785,21 @@
 
 // --- The project's processes
 
-struct GatewayOptions {
-  std::string name;
-  std::string ip;
-  std::string zone = "za";
-  std::string store;
-  int grace_s = 8;
-  int drain_ms = 2'000;
-  int config_apply_ms = 2'000;
-  int revoke_ms = 5'000;
-  int controller_port = 0;
-  int max_fds = 4'100;
-  int memory_mb = 260;
-};
-
-// A gateway, started as the deploy file says, with the settings that its
-// template gives for a small deployment.
-class Gateway {
+// A process that is started as the deploy file says.
+class Process {
  public:
-  Gateway(const std::string& folder, GatewayOptions options)
-      : m_options(std::move(options)),
-        m_settings(folder + "/" + m_options.name + ".ini"),
-        m_log(folder + "/" + m_options.name + ".log") {
-    const std::string& ip = m_options.ip;
-    m_front = {ip, FreePort(ip)};
-    m_ready = {ip, FreePort(ip)};
-    const int peers = FreePort(ip);
-    const int metrics = FreePort(ip);
-    FILE* file = std::fopen(m_settings.c_str(), "w");
-    std::fprintf(
-        file,
-        "[node]\nrole = gateway\nvm = %s\ndata_centre = %s\n\n"
-        "[http]\nendpoint = %s\nready_endpoint = %s\n"
-        "metrics_endpoint = %s:%d\n\n"
-        "[peers]\nendpoint = %s:%d\ncontroller_port = %d\n\n"
-        "[platform]\nstore_endpoint = %s\n\n"
-        "[limits]\nkey_revocation_ms = %d\nconfig_apply_ms = %d\n"
-        "worker_drain_ms = %d\nworker_heartbeat_ms = 1200\ngrace_s = %d\n"
-        "memory_mb = %d\nretry_reserve = 56\nquota_slack_tokens = 72000\n\n"
-        "[regions]\nza = r\nzb = r\n",
-        m_options.name.c_str(), m_options.zone.c_str(), m_front.Text().c_str(),
-        m_ready.Text().c_str(), ip.c_str(), metrics, ip.c_str(), peers,
-        m_options.controller_port == 0 ? peers : m_options.controller_port,
-        m_options.store.c_str(), m_options.revoke_ms, m_options.config_apply_ms,
-        m_options.drain_ms, m_options.grace_s, m_options.memory_mb);
-    std::fclose(file);
-  }
-  ~Gateway() {
+  Process(const std::string& folder, std::string name)
+      : m_name(std::move(name)),
+        m_settings(folder + "/" + m_name + ".ini"),
+        m_log(folder + "/" + m_name + ".log") {}
+  ~Process() {
     if (m_pid > 0) {
       kill(m_pid, SIGKILL);
       waitpid(m_pid, nullptr, 0);
     }
   }
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
 
   void Start() {
     std::string setting = "BORAGEPICK_BOOT=" + m_settings;
@@ -852,9 +814,6 @@
       prctl(PR_SET_PDEATHSIG, SIGKILL);
       if (getppid() != parent)
         _exit(127);
-      const auto fds = static_cast<rlim_t>(m_options.max_fds);
-      const rlimit limit{fds, fds};
-      setrlimit(RLIMIT_NOFILE, &limit);
       const int fd =
           open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
       dup2(fd, 1);
@@ -864,10 +823,10 @@
       execve(program, arguments, environment.data());
       _exit(127);
     }
-    Record("%s started as process %d", m_options.name.c_str(), m_pid);
+    Record("%s started as process %d", m_name.c_str(), m_pid);
   }
   void Signal(int signal) {
-    Record("%s gets signal %s", m_options.name.c_str(), strsignal(signal));
+    Record("%s gets signal %s", m_name.c_str(), strsignal(signal));
     kill(m_pid, signal);
   }
   // Waits for the process to end. Returns false after `timeout_ms`.
@@ -876,18 +835,64 @@
     while (m_pid > 0 && NowMs() < deadline) {
       int status = 0;
       if (waitpid(m_pid, &status, WNOHANG) == m_pid) {
-        Record("%s has ended, status %#x", m_options.name.c_str(), status);
+        Record("%s has ended, status %#x", m_name.c_str(), status);
         m_pid = -1;
-        m_end_status = status;
         return true;
       }
       SleepMs(2);
     }
     return m_pid <= 0;
   }
-  bool IsRunning() { return !WaitForEnd(1); }
+  pid_t pid() const { return m_pid; }
+
+ protected:
+  void WriteSettings(const std::string& text) const {
+    FILE* file = std::fopen(m_settings.c_str(), "w");
+    std::fputs(text.c_str(), file);
+    std::fclose(file);
+  }
+
+ private:
+  std::string m_name;
+  std::string m_settings;
+  std::string m_log;
+  pid_t m_pid = -1;
+};
+
+struct GatewayOptions {
+  std::string name;
+  std::string ip;
+  std::string zone = "za";
+  std::string store;
+  int controller_port = 0;
+};
 
-  bool IsReady() {
+// The bounds are those of the sheets of kitami-bells and mirisnet.
+class Gateway : public Process {
+ public:
+  Gateway(const std::string& folder, const GatewayOptions& options)
+      : Process(folder, options.name),
+        m_front{options.ip, FreePort(options.ip)},
+        m_ready{options.ip, FreePort(options.ip)} {
+    const int peers = FreePort(options.ip);
+    const int metrics = FreePort(options.ip);
+    const int controllers =
+        options.controller_port == 0 ? peers : options.controller_port;
+    WriteSettings(
+        "[node]\nrole = gateway\nvm = " + options.name +
+        "\ndata_centre = " + options.zone + "\n\n[http]\nendpoint = " +
+        m_front.Text() + "\nready_endpoint = " + m_ready.Text() +
+        "\nmetrics_endpoint = " + Address{options.ip, metrics}.Text() +
+        "\n\n[peers]\nendpoint = " + Address{options.ip, peers}.Text() +
+        "\ncontroller_port = " + std::to_string(controllers) +
+        "\n\n[platform]\nstore_endpoint = " + options.store +
+        "\n\n[limits]\nkey_revocation_ms = 5000\nconfig_apply_ms = 2000\n"
+        "worker_drain_ms = 2000\nworker_heartbeat_ms = 1200\ngrace_s = 8\n"
+        "memory_mb = 260\nretry_reserve = 56\nquota_slack_tokens = 72000\n\n"
+        "[regions]\nza = r\nzb = r\n");
+  }
+
+  bool IsReady() const {
     const int fd = Connect(m_ready);
     if (fd < 0)
       return false;
@@ -897,30 +902,45 @@
     close(fd);
     return response.Status() == 200;
   }
-  bool WaitUntilReady(std::int64_t timeout_ms) {
+  bool WaitUntilReady(std::int64_t timeout_ms) const {
     const std::int64_t deadline = NowMs() + timeout_ms;
     while (NowMs() < deadline) {
-      if (IsReady()) {
-        Record("%s says that it is ready", m_options.name.c_str());
+      if (IsReady())
         return true;
-      }
       SleepMs(20);
     }
     return false;
   }
 
   const Address& front() const { return m_front; }
-  const std::string& log() const { return m_log; }
-  pid_t pid() const { return m_pid; }
 
  private:
-  GatewayOptions m_options;
-  std::string m_settings;
-  std::string m_log;
   Address m_front;
   Address m_ready;
-  pid_t m_pid = -1;
-  int m_end_status = 0;
+};
+
+struct ControllerOptions {
+  std::string name;
+  std::string ip;
+  int port = 0;
+  std::string engine;
+  std::string store;
+};
+
+class Controller : public Process {
+ public:
+  Controller(const std::string& folder, const ControllerOptions& options)
+      : Process(folder, options.name) {
+    const int metrics = FreePort(options.ip);
+    WriteSettings(
+        "[node]\nrole = controller\nvm = " + options.name +
+        "\ndata_centre = za\n\n[http]\nmetrics_endpoint = " +
+        Address{options.ip, metrics}.Text() + "\n\n[peers]\nendpoint = " +
+        Address{options.ip, options.port}.Text() +
+        "\n\n[platform]\nstore_endpoint = " + options.store +
+        "\n\n[engine]\nendpoint = " + options.engine +
+        "\n\n[limits]\ngrace_s = 8\nmemory_mb = 192\n");
+  }
 };
 
 // A temporary folder, removed with the object.
