--- a/review/standins-2.h
+++ b/review/standins-2.h
@@ -970,11 +970,6 @@
   _exit(status);
 }
 
-inline bool WithTrouble() {
-  const char* trouble = std::getenv("TROUBLE");
-  return trouble == nullptr || std::strcmp(trouble, "0") != 0;
-}
-
 inline void OpenRecord(const char* path) {
   signal(SIGPIPE, SIG_IGN);
   g_record = std::fopen(path, "w");
